Add the Maven reactor, the design page and the shared types of the core

Cause: every module needs one vocabulary (attempts, outcomes, links, configuration objects, error kinds) before it can be built beside the others. Ruled out: one module with packages only, because daemons would then see each other's internals. Conclusion: the reactor of docs/design.md section 2 stands; the modules follow.

--- /dev/null
+++ b/masticfold-agent/src/main/java/io/masticfold/agent/package-info.java
@@ -0,0 +1,2 @@
+/** Root package of the masticfold-agent module. */
+package io.masticfold.agent;
--- /dev/null
+++ b/masticfold-cli/src/main/java/io/masticfold/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Root package of the masticfold-cli module. */
+package io.masticfold.cli;
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/attempt/Payload.java
@@ -0,0 +1,58 @@
+package io.masticfold.core.attempt;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import org.jspecify.annotations.Nullable;
+
+/** Holds immutable bytes. */
+public final class Payload {
+
+    /** The payload without bytes. */
+    public static final Payload EMPTY = new Payload(new byte[0]);
+
+    private final byte[] bytes;
+
+    private Payload(byte[] bytes) {
+        this.bytes = bytes;
+    }
+
+    /** Wraps bytes that the caller never changes again. */
+    public static Payload wrap(byte[] bytes) {
+        return bytes.length == 0 ? EMPTY : new Payload(bytes);
+    }
+
+    /** Encodes a text as UTF-8. */
+    public static Payload ofUtf8(String text) {
+        return wrap(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Returns the number of bytes. */
+    public int size() {
+        return bytes.length;
+    }
+
+    /** Returns the bytes without copying; the caller must not change them. */
+    public byte[] unsafeBytes() {
+        return bytes;
+    }
+
+    /** Decodes the bytes as UTF-8. */
+    public String utf8() {
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public boolean equals(@Nullable Object other) {
+        return other instanceof Payload that && Arrays.equals(bytes, that.bytes);
+    }
+
+    @Override
+    public int hashCode() {
+        return Arrays.hashCode(bytes);
+    }
+
+    @Override
+    public String toString() {
+        return "Payload[" + bytes.length + " bytes]";
+    }
+}
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/attempt/StageCompleted.java
@@ -0,0 +1,17 @@
+package io.masticfold.core.attempt;
+
+import io.masticfold.core.error.Ran;
+
+/**
+ * Ends an attempt with its whole result.
+ *
+ * @param result the whole result; for a streaming attempt the concatenation of its chunks from offset 0
+ * @param serviceMicros time the target took, in microseconds
+ */
+public record StageCompleted(Payload result, long serviceMicros) implements StageOutcome {
+
+    @Override
+    public Ran ran() {
+        return Ran.YES;
+    }
+}
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/claim/Claim.java
@@ -0,0 +1,35 @@
+package io.masticfold.core.claim;
+
+import io.masticfold.core.attempt.AttemptId;
+import io.masticfold.core.attempt.Incarnation;
+import io.masticfold.core.attempt.Payload;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Records which attempt of a non-idempotent stage may run.
+ *
+ * @param attempt the only attempt that may run
+ * @param target target the attempt is sent to
+ * @param agent incarnation of the agent the attempt is addressed to
+ * @param fingerprint SHA-256 of the stage input, in lower-case hexadecimal digits
+ * @param createdMillis wall-clock time of the first claim, in milliseconds since the epoch; for retention only
+ * @param result the kept result once the attempt completed, null before
+ */
+public record Claim(
+        AttemptId attempt,
+        String target,
+        Incarnation agent,
+        String fingerprint,
+        long createdMillis,
+        @Nullable Payload result) {
+
+    /** Returns this claim with the result of its attempt. */
+    public Claim completed(Payload newResult) {
+        return new Claim(attempt, target, agent, fingerprint, createdMillis, newResult);
+    }
+
+    /** Returns this claim moved to another attempt. */
+    public Claim movedTo(AttemptId newAttempt, String newTarget, Incarnation newAgent) {
+        return new Claim(newAttempt, newTarget, newAgent, fingerprint, createdMillis, null);
+    }
+}
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/config/SpecCodec.java
@@ -0,0 +1,22 @@
+package io.masticfold.core.config;
+
+import io.masticfold.core.error.MasticfoldException;
+import io.masticfold.core.model.ConfigSpec;
+import io.masticfold.core.model.ObjectKind;
+
+/** Converts specifications to and from their JSON text. */
+public interface SpecCodec {
+
+    /** Encodes a specification as a JSON object. */
+    String encode(ConfigSpec spec);
+
+    /**
+     * Decodes and checks a specification.
+     *
+     * @param kind kind of the object
+     * @param name name of the object
+     * @param json the JSON object
+     * @throws MasticfoldException with kind {@code MALFORMED_REQUEST} if the text is no valid specification
+     */
+    ConfigSpec decode(ObjectKind kind, String name, String json) throws MasticfoldException;
+}
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/link/package-info.java
@@ -0,0 +1,5 @@
+/** Interfaces between the entry and the agents; implemented by the transport and by direct calls in tests. */
+@NullMarked
+package io.masticfold.core.link;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/model/ConfigSpec.java
@@ -0,0 +1,11 @@
+package io.masticfold.core.model;
+
+/** Describes one configuration object. */
+public sealed interface ConfigSpec permits Contract, Pipeline, Zone, Target, Model {
+
+    /** Returns the kind of the object. */
+    ObjectKind kind();
+
+    /** Returns the name of the object, unique within its kind. */
+    String name();
+}
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/model/Model.java
@@ -0,0 +1,24 @@
+package io.masticfold.core.model;
+
+/**
+ * Describes a model in the weight store.
+ *
+ * @param name name of the model
+ * @param version current version
+ * @param weightBytes size of its weights, in bytes
+ */
+public record Model(String name, String version, long weightBytes) implements ConfigSpec {
+
+    /** Checks the ranges. */
+    public Model {
+        ModelSupport.checkName("model", name);
+        if (weightBytes < 1) {
+            throw new IllegalArgumentException("weightBytes must be at least 1: " + weightBytes);
+        }
+    }
+
+    @Override
+    public ObjectKind kind() {
+        return ObjectKind.MODEL;
+    }
+}
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/order/package-info.java
@@ -0,0 +1,5 @@
+/** Orders to engines. */
+@NullMarked
+package io.masticfold.core.order;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/package-info.java
@@ -0,0 +1,2 @@
+/** Root package of the masticfold-core module. */
+package io.masticfold.core;
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/pipeline/PipelineResult.java
@@ -0,0 +1,18 @@
+package io.masticfold.core.pipeline;
+
+import io.masticfold.core.attempt.Payload;
+import java.util.List;
+
+/**
+ * Holds the whole answer to a request.
+ *
+ * @param output result of the last stage
+ * @param stages a report for each stage
+ */
+public record PipelineResult(Payload output, List<StageReport> stages) {
+
+    /** Copies the list. */
+    public PipelineResult {
+        stages = List.copyOf(stages);
+    }
+}
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/pipeline/PipelineService.java
@@ -0,0 +1,16 @@
+package io.masticfold.core.pipeline;
+
+import io.masticfold.core.time.Scheduler;
+
+/** Runs requests through pipelines. */
+public interface PipelineService {
+
+    /**
+     * Starts a request. The listener may be called before this method returns.
+     *
+     * @param request the request
+     * @param scheduler event loop of the caller; the run and the listener stay on it
+     * @param listener receives the answer
+     */
+    RunningRequest submit(PipelineRequest request, Scheduler scheduler, ResponseListener listener);
+}
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/retry/package-info.java
@@ -0,0 +1,5 @@
+/** Retry budget. */
+@NullMarked
+package io.masticfold.core.retry;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/routing/Router.java
@@ -0,0 +1,15 @@
+package io.masticfold.core.routing;
+
+import java.util.Optional;
+
+/** Chooses targets. Safe for use by several threads. */
+public interface Router {
+
+    /**
+     * Chooses a target and counts the attempt as in flight there until {@link Route#release}.
+     *
+     * @param request what the target is chosen for
+     * @return the route, empty if no target of the pool can take the attempt
+     */
+    Optional<Route> choose(RouteRequest request);
+}
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/routing/package-info.java
@@ -0,0 +1,5 @@
+/** Choice of a target for an attempt. */
+@NullMarked
+package io.masticfold.core.routing;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/time/SystemTimeSource.java
@@ -0,0 +1,18 @@
+package io.masticfold.core.time;
+
+import java.time.Instant;
+
+/** Reads the clocks of the machine. */
+enum SystemTimeSource implements TimeSource {
+    INSTANCE;
+
+    @Override
+    public long nanoTime() {
+        return System.nanoTime();
+    }
+
+    @Override
+    public Instant now() {
+        return Instant.now();
+    }
+}
--- /dev/null
+++ b/masticfold-entry/src/main/java/io/masticfold/entry/package-info.java
@@ -0,0 +1,2 @@
+/** Root package of the masticfold-entry module. */
+package io.masticfold.entry;
--- /dev/null
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Root package of the masticfold-platform module. */
+package io.masticfold.platform;
--- /dev/null
+++ b/masticfold-testkit/src/main/java/io/masticfold/testkit/package-info.java
@@ -0,0 +1,2 @@
+/** Root package of the masticfold-testkit module. */
+package io.masticfold.testkit;
--- /dev/null
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Root package of the masticfold-wire module. */
+package io.masticfold.wire;
--- /dev/null
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/proto/package-info.java
@@ -0,0 +1,2 @@
+/** Generated protobuf messages. */
+package io.masticfold.wire.proto;
