Add the ledger of attempts at an agent

Cause: the agent must not run an attempt twice, and an answer "not run" must stay true, although its memory for attempts is bounded.

Change: AttemptLedger records queued, running, done, failed, refused, sealed and foreign attempts. It is bounded in attempts, bytes of kept results and time. EntryMarks holds, per entry incarnation, the highest counter whose record was dropped; an attempt up to the mark that is not on record is FORGOTTEN, answers UNKNOWN and never runs. The marks are bounded too: dropping one raises a floor over the order of incarnations. Idempotent records are dropped first and only non-idempotent results are kept, because only non-idempotent attempts are ever sealed; otherwise a burst of reads would push out the records of payments.

Ruled out: one mark per agent instead of per entry incarnation (a fast entry would make the attempts of a slow one look forgotten); dropping marks by age (claims are settled for 24 hours).

Conclusion: safe under eviction by construction; the price is that a seal of an attempt that never arrived answers UNKNOWN once later attempts of the same entry have been dropped.

--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/attempt/LedgerEntry.java
@@ -0,0 +1,62 @@
+package io.masticfold.core.attempt;
+
+import org.jspecify.annotations.Nullable;
+
+/** Holds the record of one attempt. */
+final class LedgerEntry {
+
+    private final AttemptId attempt;
+    private final boolean idempotent;
+    private AttemptState state;
+    private long endedNanos;
+
+    @Nullable
+    private Payload result;
+
+    LedgerEntry(AttemptId attempt, boolean idempotent, AttemptState state) {
+        this.attempt = attempt;
+        this.idempotent = idempotent;
+        this.state = state;
+    }
+
+    AttemptId attempt() {
+        return attempt;
+    }
+
+    boolean idempotent() {
+        return idempotent;
+    }
+
+    AttemptState state() {
+        return state;
+    }
+
+    long endedNanos() {
+        return endedNanos;
+    }
+
+    @Nullable
+    Payload result() {
+        return result;
+    }
+
+    void begin() {
+        state = AttemptState.RUNNING;
+    }
+
+    void end(AttemptState end, long nowNanos) {
+        state = end;
+        endedNanos = nowNanos;
+    }
+
+    void keep(Payload kept) {
+        result = kept;
+    }
+
+    /** Drops the kept result and returns the number of bytes that became free. */
+    int dropResult() {
+        int bytes = result == null ? 0 : result.size();
+        result = null;
+        return bytes;
+    }
+}
