Add the gate that admits attempts to a target

Cause: only the agent sees the work of all entries, so admission, limits and the record of what ran are decided there.

Listeners and the target client are called after the lock is released; a thread-local queue keeps targets that answer at once from nesting calls.

Ruled out: a lock-free gate (the decisions span queue, ledger and limits); answering a stale incarnation as refused (another run of the agent may have run the attempt).

--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/gate/GateActions.java
@@ -0,0 +1,52 @@
+package io.masticfold.core.gate;
+
+import io.masticfold.core.telemetry.Telemetry;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+
+/**
+ * Runs what was decided under the gate's lock after the lock is released: calls to the target and to listeners. Actions
+ * that a running action adds on the same thread run after it, so that targets that answer at once do not nest calls.
+ */
+final class GateActions {
+
+    private static final ThreadLocal<Deque<Runnable>> RUNNING = new ThreadLocal<>();
+
+    private final Telemetry telemetry;
+
+    GateActions(Telemetry telemetry) {
+        this.telemetry = telemetry;
+    }
+
+    void run(List<Runnable> actions) {
+        Deque<Runnable> outer = RUNNING.get();
+        if (outer != null) {
+            outer.addAll(actions);
+            return;
+        }
+        if (!actions.isEmpty()) {
+            runAll(new ArrayDeque<>(actions));
+        }
+    }
+
+    private void runAll(Deque<Runnable> pending) {
+        RUNNING.set(pending);
+        try {
+            while (!pending.isEmpty()) {
+                runOne(pending.removeFirst());
+            }
+        } finally {
+            RUNNING.remove();
+        }
+    }
+
+    /** Runs one action; a listener that throws must not keep the other actions from running. */
+    private void runOne(Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException e) {
+            telemetry.count("gate_action_failed");
+        }
+    }
+}
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/gate/GateRun.java
@@ -0,0 +1,114 @@
+package io.masticfold.core.gate;
+
+import io.masticfold.core.attempt.AttemptId;
+import io.masticfold.core.attempt.Payload;
+import io.masticfold.core.attempt.StageDispatch;
+import io.masticfold.core.error.ErrorKind;
+import io.masticfold.core.error.Ran;
+import io.masticfold.core.link.StageListener;
+import io.masticfold.core.time.Cancellable;
+import io.masticfold.core.time.Deadline;
+
+/** Follows one accepted attempt from the queue to its end. The gate changes the phase under its lock. */
+final class GateRun implements TargetListener {
+
+    private final AgentGate gate;
+    private final StageDispatch dispatch;
+    private final StageListener listener;
+    private final Deadline deadline;
+    private final long order;
+    private final CallHandle call = new CallHandle();
+    private volatile RunPhase phase = RunPhase.QUEUED;
+    private volatile Cancellable expiry = Cancellable.NONE;
+    private long epoch;
+    private long startNanos;
+    private long offset;
+
+    /**
+     * Creates a run that waits.
+     *
+     * @param order number of the arrival, which decides among equals
+     */
+    GateRun(AgentGate gate, StageDispatch dispatch, StageListener listener, Deadline deadline, long order) {
+        this.gate = gate;
+        this.dispatch = dispatch;
+        this.listener = listener;
+        this.deadline = deadline;
+        this.order = order;
+        this.offset = dispatch.resumeOffset();
+    }
+
+    StageDispatch dispatch() {
+        return dispatch;
+    }
+
+    AttemptId attempt() {
+        return dispatch.attempt();
+    }
+
+    StageListener listener() {
+        return listener;
+    }
+
+    Deadline deadline() {
+        return deadline;
+    }
+
+    long order() {
+        return order;
+    }
+
+    RunPhase phase() {
+        return phase;
+    }
+
+    void phase(RunPhase next) {
+        phase = next;
+    }
+
+    /** Marks the run as sent to the target. */
+    void begin(long callEpoch, long nowNanos) {
+        phase = RunPhase.RUNNING;
+        epoch = callEpoch;
+        startNanos = nowNanos;
+    }
+
+    CallTimes times(long nowNanos) {
+        return new CallTimes(epoch, startNanos, nowNanos);
+    }
+
+    CallHandle call() {
+        return call;
+    }
+
+    /** Sets the timer that refuses the run when its budget no longer suffices. */
+    void arm(Cancellable timer) {
+        expiry = timer;
+        if (!phase.waiting()) {
+            timer.cancel();
+        }
+    }
+
+    void disarm() {
+        expiry.cancel();
+    }
+
+    @Override
+    public void chunk(Payload bytes) {
+        if (phase == RunPhase.RUNNING) {
+            long start = offset;
+            offset += bytes.size();
+            listener.chunk(start, bytes);
+        }
+    }
+
+    @Override
+    public void completed(Payload result) {
+        gate.completed(this, result);
+    }
+
+    @Override
+    public void failed(ErrorKind kind, Ran ran) {
+        gate.failed(this, kind, ran);
+    }
+}
