--- a/masticfold-core/src/test/java/io/masticfold/core/gate/FakeTarget.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/gate/FakeTarget.java
@@ -44,6 +44,11 @@
         return List.copyOf(open.keySet());
     }
 
+    /** Drops the open calls without an answer, as after the death of the caller. */
+    void forgetOpen() {
+        open.clear();
+    }
+
     List<AttemptId> cancelled() {
         return cancelled;
     }
