Add the reconciler of orders to engines

Cause: an engine has to serve what its target object states, while orders, answers and reports get lost, reports lag, and some engines ignore fencing numbers.

Change: OrderReconciler decides the next step from the present state only: send an order, ask for a permit of the weight store, or wait with a named reason. The fencing number is the version of the target object. OrderState refuses a second order in flight and an older number. A failure backs off from 1 s doubling to 64 s; a newer goal ends the backoff. A permit counts from its request, keeps back a fifth of its term, and is renewed at half of it while the load goes on. A new agent waits 3 s before its first order, because its configuration may lag behind what the agent before it ordered. A report older than the end of the last order decides nothing. A goal that returns to an earlier state is ordered again under its newer number if another order came between.

Ruled out: sending orders on change events; a lost event would leave the engine on the old model.

Conclusion: the decision stands; the agent daemon has to drive it.

--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/order/OrderGoal.java
@@ -0,0 +1,40 @@
+package io.masticfold.core.order;
+
+import io.masticfold.core.config.ConfigObject;
+import io.masticfold.core.config.ConfigSnapshot;
+import io.masticfold.core.config.ObjectKey;
+import io.masticfold.core.model.DesiredModel;
+import io.masticfold.core.model.Model;
+import io.masticfold.core.model.ObjectKind;
+import io.masticfold.core.model.Target;
+import java.util.Optional;
+
+/**
+ * Holds what the configuration wants an engine to serve.
+ *
+ * @param desired the desired state
+ * @param version version of the target object that states it
+ * @param weightBytes size of the model's weights, in bytes
+ */
+public record OrderGoal(DesiredModel desired, long version, long weightBytes) {
+
+    /**
+     * Reads the goal of a target.
+     *
+     * @return the goal; empty if the target gets no orders, or its model is not known yet
+     */
+    public static Optional<OrderGoal> of(ConfigSnapshot snapshot, String target) {
+        return snapshot.object(new ObjectKey(ObjectKind.TARGET, target)).flatMap(object -> of(snapshot, object));
+    }
+
+    private static Optional<OrderGoal> of(ConfigSnapshot snapshot, ConfigObject object) {
+        if (!(object.spec() instanceof Target target) || target.desired() == null) {
+            return Optional.empty();
+        }
+        DesiredModel desired = target.desired();
+        return snapshot.object(new ObjectKey(ObjectKind.MODEL, desired.model()))
+                .map(ConfigObject::spec)
+                .map(Model.class::cast)
+                .map(model -> new OrderGoal(desired, object.version(), model.weightBytes()));
+    }
+}
--- /dev/null
+++ b/masticfold-core/src/test/java/io/masticfold/core/order/OrderReconcilerTests.java
@@ -0,0 +1,118 @@
+package io.masticfold.core.order;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.masticfold.core.model.DesiredModel;
+import io.masticfold.core.order.AwaitChange.Reason;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Guards the orders to engines: no older version after a newer one, one in flight, permits, and backoff. */
+final class OrderReconcilerTests {
+
+    private static final long SECOND = 1_000_000_000L;
+    private static final long NOW = 100 * SECOND;
+    private static final DesiredModel OLD = new DesiredModel("m", "", "1", "both");
+    private static final DesiredModel NEW = new DesiredModel("m", "", "2", "both");
+    private static final DesiredModel NEW_ROLE = new DesiredModel("m", "", "1", "decode");
+    private static final OrderState START = OrderState.start(0);
+    private static final LoadPermit PERMIT = LoadPermit.granted(NOW, Duration.ofSeconds(10));
+    private static final EngineOrder ORDER = new EngineOrder(7, NEW, true);
+    private static final OrderState SENT = START.withPermit(PERMIT).sent(ORDER);
+
+    static Stream<Arguments> decisions() {
+        OrderState failed = SENT.failed(NOW);
+        OrderState young = OrderState.start(NOW);
+        return Stream.of(
+                Arguments.of("no goal", START, null, view(OLD, 0), awaiting(Reason.NO_GOAL)),
+                Arguments.of("in sync", START, goal(NEW, 7), view(NEW, 7), awaiting(Reason.IN_SYNC)),
+                Arguments.of("new agent", young, goal(NEW, 7), view(OLD, 0), awaiting(Reason.SETTLING)),
+                Arguments.of("needs permit", START, goal(NEW, 7), view(OLD, 0), new AskPermit(5)),
+                Arguments.of(
+                        "asked already",
+                        START.withPermit(LoadPermit.asked(NOW, Duration.ofSeconds(1))),
+                        goal(NEW, 7),
+                        view(OLD, 0),
+                        awaiting(Reason.NO_PERMIT)),
+                Arguments.of(
+                        "permit lapsed",
+                        START.withPermit(LoadPermit.granted(0, Duration.ofSeconds(10))),
+                        goal(NEW, 7),
+                        view(OLD, 0),
+                        new AskPermit(5)),
+                Arguments.of("permit held", START.withPermit(PERMIT), goal(NEW, 7), view(OLD, 0), new SendOrder(ORDER)),
+                Arguments.of(
+                        "role only",
+                        START,
+                        goal(NEW_ROLE, 7),
+                        view(OLD, 0),
+                        new SendOrder(new EngineOrder(7, NEW_ROLE, false))),
+                Arguments.of("engine knows newer", START, goal(NEW, 7), view(OLD, 8), awaiting(Reason.OUTDATED_GOAL)),
+                Arguments.of("fenced", SENT.fenced(9, NOW), goal(NEW, 7), view(OLD, 0), awaiting(Reason.OUTDATED_GOAL)),
+                Arguments.of("in flight", SENT, goal(OLD, 9), view(OLD, 0), awaiting(Reason.ORDER_IN_FLIGHT)),
+                Arguments.of(
+                        "renewal",
+                        SENT.withPermit(LoadPermit.granted(NOW - 6 * SECOND, Duration.ofSeconds(10))),
+                        goal(NEW, 7),
+                        view(OLD, 0),
+                        new AskPermit(5)),
+                Arguments.of("backoff", failed, goal(NEW, 7), view(OLD, 0), awaiting(Reason.BACKOFF)),
+                Arguments.of("backoff ends with a newer goal", failed, goal(NEW, 8), view(OLD, 0), new AskPermit(5)),
+                Arguments.of(
+                        "report older than the last order",
+                        SENT.succeeded(NOW + 1),
+                        goal(NEW, 7),
+                        view(OLD, 0),
+                        awaiting(Reason.OUTDATED_VIEW)),
+                Arguments.of(
+                        "lost order may still take effect",
+                        failed,
+                        goal(OLD, 8),
+                        view(OLD, 0),
+                        new SendOrder(new EngineOrder(8, OLD, false))));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("decisions")
+    void decides(String name, OrderState state, OrderGoal goal, EngineView view, OrderStep expected) {
+        assertThat(OrderReconciler.next(state, Optional.ofNullable(goal), view, NOW))
+                .as(name)
+                .isEqualTo(expected);
+    }
+
+    @Test
+    void backoffDoublesUpToABound() {
+        OrderState state = SENT;
+        long[] waits = new long[9];
+        for (int i = 0; i < waits.length; i++) {
+            state = state.failed(NOW);
+            waits[i] = (state.notBeforeNanos() - NOW) / SECOND;
+        }
+        assertThat(waits).containsExactly(1, 2, 4, 8, 16, 32, 64, 64, 64);
+    }
+
+    @Test
+    void theStateRefusesASecondOrderInFlightAndAnOlderNumber() {
+        assertThatThrownBy(() -> SENT.sent(ORDER)).isInstanceOf(IllegalStateException.class);
+        OrderState done = SENT.succeeded(NOW);
+        assertThatThrownBy(() -> done.sent(new EngineOrder(6, OLD, false))).isInstanceOf(IllegalStateException.class);
+    }
+
+    private static OrderGoal goal(DesiredModel desired, long version) {
+        return new OrderGoal(desired, version, 5);
+    }
+
+    private static EngineView view(DesiredModel served, long fencing) {
+        return new EngineView(served, fencing, NOW);
+    }
+
+    private static OrderStep awaiting(Reason reason) {
+        return new AwaitChange(reason);
+    }
+}
