Drop the mark of the least active entry first

Change: the order of marks follows recorded arrivals only.

Ruled out: an access-ordered map, which was the cause.

Conclusion: no safety was lost by the fault, only availability.

--- a/masticfold-core/src/main/java/io/masticfold/core/attempt/EntryMarks.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/attempt/EntryMarks.java
@@ -14,10 +14,9 @@
  */
 final class EntryMarks {
 
-    private static final float LOAD_FACTOR = 0.75f;
-    private static final int INITIAL_SIZE = 16;
+    /** Holds the marks in the order of the last recorded arrival, so that the least active entry is dropped first. */
+    private final Map<Incarnation, Long> marks = new LinkedHashMap<>();
 
-    private final Map<Incarnation, Long> marks = new LinkedHashMap<>(INITIAL_SIZE, LOAD_FACTOR, true);
     private final int capacity;
 
     @Nullable
@@ -33,10 +32,11 @@
         return mark == null ? underFloor(attempt.entry()) : attempt.counter() <= mark;
     }
 
-    /** Notes an incarnation when its first attempt is recorded, so that a later rise of the floor leaves it alone. */
+    /** Notes the arrival of an attempt when it is recorded, so that a later rise of the floor spares its entry. */
     void note(Incarnation entry) {
-        if (!underFloor(entry)) {
-            put(entry, marks.getOrDefault(entry, 0L));
+        Long mark = marks.remove(entry);
+        if (mark != null || !underFloor(entry)) {
+            put(entry, mark == null ? 0 : mark);
         }
     }
 
