Check once more outside the lock and test the gate with threads

Cause: a process can be frozen between the release of the gate's lock and the call of the target; a call with a spent budget would then leave.

Change: the checks are repeated immediately before the call; a late start is recorded as refused, which is true because nothing has left. Arming the budget timer replaces an earlier one, so an attempt that returns to the queue leaves no timer behind. A test with four threads that send the same 5,000 attempts, seal and cancel them while calls end on four other threads; it has no clock and waits for conditions only.

Ruled out: holding the lock during the call.

Conclusion: one execution per attempt and the limit hold under threads in this run; a freeze inside the target client is for the client's own deadline.

--- a/masticfold-core/src/main/java/io/masticfold/core/gate/AgentGate.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/gate/AgentGate.java
@@ -281,8 +281,14 @@
         return true;
     }
 
+    /** Calls the target, unless the process was frozen since the last checks under the lock. */
     private void call(GateRun run) {
         run.disarm();
+        ErrorKind late = checks.refusal(run.dispatch(), run.deadline());
+        if (late != null) {
+            failed(run, late, Ran.NO);
+            return;
+        }
         Duration budget = run.deadline().remaining(scheduler);
         Duration allowed = run.dispatch().idempotent() ? budget : budget.plus(settings.lateResultGrace());
         try {
@@ -311,6 +317,7 @@
     }
 
     private void arm(GateRun run) {
+        run.disarm();
         if (!run.phase().waiting()) {
             return;
         }
