Add the router: zone preference, prefix affinity, two random choices and ejection

Cause: the entry needs a target for each attempt; the gate at the agent makes the choice safe, the router makes it right most of the time. Ruled out: scoring every target, which sends all entries to the same best target at once.

--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/routing/DefaultRoute.java
@@ -0,0 +1,57 @@
+package io.masticfold.core.routing;
+
+import io.masticfold.core.attempt.StageCompleted;
+import io.masticfold.core.attempt.StageFailed;
+import io.masticfold.core.attempt.StageOutcome;
+import io.masticfold.core.attempt.StageRefused;
+import io.masticfold.core.attempt.TargetLoad;
+import io.masticfold.core.error.ErrorKind;
+import io.masticfold.core.link.AgentLink;
+import io.masticfold.core.model.Target;
+import io.masticfold.core.time.TimeSource;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/** Holds the in-flight count of one attempt and feeds its outcome back into the statistics, once. */
+final class DefaultRoute implements Route {
+
+    private final Candidate chosen;
+    private final RouterSettings settings;
+    private final TimeSource time;
+    private final AtomicBoolean released = new AtomicBoolean();
+
+    DefaultRoute(Candidate chosen, RouterSettings settings, TimeSource time) {
+        this.chosen = chosen;
+        this.settings = settings;
+        this.time = time;
+    }
+
+    @Override
+    public Target target() {
+        return chosen.target();
+    }
+
+    @Override
+    public AgentLink link() {
+        return chosen.link();
+    }
+
+    @Override
+    public void release(StageOutcome outcome, TargetLoad load, long elapsedNanos) {
+        if (!released.compareAndSet(false, true)) {
+            return;
+        }
+        TargetStats stats = chosen.stats();
+        stats.release(load);
+        if (outcome instanceof StageCompleted) {
+            stats.completed(elapsedNanos);
+        } else if (blamesTarget(outcome)) {
+            stats.failed(settings, time.nanoTime());
+        }
+    }
+
+    /** A refusal for load or state says nothing about the health of the target; an unreachable target does. */
+    private static boolean blamesTarget(StageOutcome outcome) {
+        return outcome instanceof StageFailed failed && failed.kind() != ErrorKind.CANCELLED
+                || outcome instanceof StageRefused refused && refused.kind() == ErrorKind.TARGET_UNREACHABLE;
+    }
+}
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/routing/DefaultRouter.java
@@ -0,0 +1,96 @@
+package io.masticfold.core.routing;
+
+import io.masticfold.core.config.ConfigSnapshot;
+import io.masticfold.core.link.AgentLink;
+import io.masticfold.core.link.AgentLinks;
+import io.masticfold.core.model.Target;
+import io.masticfold.core.time.TimeSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * Chooses among the targets of a pool that take work, have a usable link and are not ejected. The statistics are shared
+ * by all event loops of the entry.
+ */
+public final class DefaultRouter implements Router {
+
+    private final Supplier<ConfigSnapshot> config;
+    private final AgentLinks links;
+    private final RouterSettings settings;
+    private final RoutingPolicy policy;
+    private final TimeSource time;
+    private final Map<String, TargetStats> stats = new ConcurrentHashMap<>();
+
+    DefaultRouter(
+            Supplier<ConfigSnapshot> config,
+            AgentLinks links,
+            RouterSettings settings,
+            RoutingPolicy policy,
+            TimeSource time) {
+        this.config = config;
+        this.links = links;
+        this.settings = settings;
+        this.policy = policy;
+        this.time = time;
+    }
+
+    /**
+     * Creates a router.
+     *
+     * @param config supplies the configuration in force
+     * @param links finds the links to the agents
+     * @param settings the settings
+     * @param time the time source
+     * @param random the random source; must be safe for use by several threads
+     */
+    public static DefaultRouter create(
+            Supplier<ConfigSnapshot> config,
+            AgentLinks links,
+            RouterSettings settings,
+            TimeSource time,
+            RandomGenerator random) {
+        return new DefaultRouter(config, links, settings, new ExpectedTimePolicy(settings, random), time);
+    }
+
+    @Override
+    public Optional<Route> choose(RouteRequest request) {
+        List<Candidate> usable = candidates(request);
+        if (usable.isEmpty()) {
+            return Optional.empty();
+        }
+        Candidate chosen = policy.choose(withoutEjected(usable), request);
+        chosen.stats().acquire();
+        return Optional.of(new DefaultRoute(chosen, settings, time));
+    }
+
+    private List<Candidate> candidates(RouteRequest request) {
+        ConfigSnapshot snapshot = config.get();
+        List<Candidate> usable = new ArrayList<>();
+        for (Target target : snapshot.pool(request.pool())) {
+            if (request.excluded().contains(target.name()) || !snapshot.takesWork(target)) {
+                continue;
+            }
+            AgentLink link = links.link(target.name());
+            if (link != null && link.usable()) {
+                TargetStats known = stats.computeIfAbsent(target.name(), _name -> new TargetStats());
+                known.heard(link.load());
+                usable.add(new Candidate(target, link, known));
+            }
+        }
+        return usable;
+    }
+
+    private List<Candidate> withoutEjected(List<Candidate> usable) {
+        long now = time.nanoTime();
+        List<Candidate> healthy = usable.stream()
+                .filter(candidate -> !candidate.stats().ejected(now))
+                .toList();
+        int ejected = usable.size() - healthy.size();
+        return ejected > usable.size() * settings.maxEjectedShare() ? usable : healthy;
+    }
+}
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/routing/ExpectedTimePolicy.java
@@ -0,0 +1,77 @@
+package io.masticfold.core.routing;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Prefers the entry's own availability zone while it has room, keeps prompt prefixes at the same engine with bounded
+ * load, and otherwise takes the better of two random candidates by expected time.
+ */
+final class ExpectedTimePolicy implements RoutingPolicy {
+
+    /** A cold target is chosen only when the warm ones are this many times as loaded. */
+    private static final double COLD_PENALTY = 4;
+
+    private final RouterSettings settings;
+    private final RandomGenerator random;
+
+    ExpectedTimePolicy(RouterSettings settings, RandomGenerator random) {
+        this.settings = settings;
+        this.random = random;
+    }
+
+    @Override
+    public Candidate choose(List<Candidate> candidates, RouteRequest request) {
+        List<Candidate> near = nearest(candidates, request.zone());
+        if (request.prefixHash() != 0) {
+            Candidate affine = affine(near, request.prefixHash());
+            if (affine != null) {
+                return affine;
+            }
+        }
+        return betterOfTwo(near);
+    }
+
+    private List<Candidate> nearest(List<Candidate> candidates, String zone) {
+        List<Candidate> own = candidates.stream()
+                .filter(candidate -> candidate.target().zone().equals(zone))
+                .toList();
+        boolean room =
+                own.stream().anyMatch(candidate -> candidate.stats().utilization() < settings.spillUtilization());
+        return room ? own : candidates;
+    }
+
+    private @Nullable Candidate affine(List<Candidate> candidates, long prefixHash) {
+        double mean = candidates.stream()
+                .mapToInt(candidate -> candidate.stats().work())
+                .average()
+                .orElse(0);
+        double bound = settings.affinityBound() * mean + 1;
+        return candidates.stream()
+                .filter(candidate -> candidate.stats().work() <= bound)
+                .max(Comparator.comparingLong(candidate ->
+                        RendezvousSupport.weight(prefixHash, candidate.target().name())))
+                .orElse(null);
+    }
+
+    private Candidate betterOfTwo(List<Candidate> candidates) {
+        if (candidates.size() == 1) {
+            return candidates.get(0);
+        }
+        int first = random.nextInt(candidates.size());
+        int second = random.nextInt(candidates.size() - 1);
+        Candidate a = candidates.get(first);
+        Candidate b = candidates.get(second >= first ? second + 1 : second);
+        return expectedTime(a) <= expectedTime(b) ? a : b;
+    }
+
+    private static double expectedTime(Candidate candidate) {
+        TargetStats stats = candidate.stats();
+        double load = (stats.work() + 1) / (double) Math.max(1, stats.load().limit());
+        double latency = Math.max(1, stats.latencyNanos());
+        double penalty = stats.load().temperature().warm() ? 1 : COLD_PENALTY;
+        return load * latency * penalty;
+    }
+}
