--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/limit/ContractAdmission.java
@@ -0,0 +1,100 @@
+package io.masticfold.core.limit;
+
+import io.masticfold.core.error.ErrorKind;
+import io.masticfold.core.model.Contract;
+import io.masticfold.core.model.Pipeline;
+import io.masticfold.core.time.TimeSource;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Admits requests within the rate and concurrency of their contract. */
+public final class ContractAdmission implements RequestAdmission {
+
+    private static final Duration CONCURRENCY_RETRY_AFTER = Duration.ofMillis(250);
+
+    private final TimeSource time;
+    private final RateShares shares;
+    private final Map<String, Workspace> workspaces = new ConcurrentHashMap<>();
+
+    /**
+     * Creates the admission.
+     *
+     * @param time the time source
+     * @param shares supplies this entry's part of each contract's rate
+     */
+    public ContractAdmission(TimeSource time, RateShares shares) {
+        this.time = time;
+        this.shares = shares;
+    }
+
+    @Override
+    public AdmissionDecision admit(Contract contract, Pipeline _pipeline) {
+        Workspace workspace = workspaces.computeIfAbsent(contract.workspace(), _name -> new Workspace(contract));
+        workspace.refresh(contract);
+        if (!workspace.enter(contract.maxInFlight())) {
+            return new AdmissionDecision.Denied(ErrorKind.WORKSPACE_LIMIT, CONCURRENCY_RETRY_AFTER);
+        }
+        long waitNanos = workspace.limiter.tryAcquire();
+        if (waitNanos > 0) {
+            workspace.leave();
+            return new AdmissionDecision.Denied(ErrorKind.WORKSPACE_LIMIT, Duration.ofNanos(waitNanos));
+        }
+        return new AdmissionDecision.Admitted(new Ticket(workspace));
+    }
+
+    private final class Workspace {
+
+        private final AtomicInteger inFlight = new AtomicInteger();
+        private final RateLimiter limiter;
+        private volatile double shareInForce;
+        private volatile int burstInForce;
+
+        Workspace(Contract contract) {
+            shareInForce = shares.share(contract);
+            burstInForce = contract.burst();
+            limiter = new RateLimiter(time, shareInForce, burstInForce);
+        }
+
+        void refresh(Contract contract) {
+            double share = shares.share(contract);
+            if (share != shareInForce || contract.burst() != burstInForce) {
+                shareInForce = share;
+                burstInForce = contract.burst();
+                limiter.adjust(share, Math.max(1, contract.burst() * share / contract.requestsPerSecond()));
+            }
+        }
+
+        boolean enter(int limit) {
+            if (inFlight.incrementAndGet() <= limit) {
+                return true;
+            }
+            leave();
+            return false;
+        }
+
+        void leave() {
+            inFlight.decrementAndGet();
+        }
+    }
+
+    private static final class Ticket implements AdmissionTicket {
+
+        private final Workspace workspace;
+
+        Ticket(Workspace workspace) {
+            this.workspace = workspace;
+        }
+
+        @Override
+        public void completed() {
+            workspace.leave();
+        }
+
+        @Override
+        public void failed(ErrorKind _kind) {
+            workspace.leave();
+        }
+    }
+}
--- /dev/null
+++ b/masticfold-entry/src/main/java/io/masticfold/entry/EntryEvent.java
@@ -0,0 +1,41 @@
+package io.masticfold.entry;
+
+import io.masticfold.core.telemetry.LogEvent;
+import org.slf4j.event.Level;
+
+/** Lists the numbered log events of the entry, 5000 to 5999. */
+public enum EntryEvent implements LogEvent {
+    STARTED(5000, Level.INFO, "entry {} serves callers on {} and operators on {}"),
+    CONFIGURATION_IN_FORCE(5001, Level.INFO, "configuration revision {} is in force"),
+    DRAINING(5002, Level.INFO, "stop requested; readiness is off, requests are taken for another {} ms"),
+    REFUSING(5003, Level.INFO, "new requests are refused; {} requests are in progress"),
+    STOPPED(5004, Level.INFO, "entry {} stopped with {} requests in progress"),
+    SERVER_CLOSE_FAILED(5005, Level.WARN, "an HTTP server did not close in time: {}"),
+    START_FAILED(5006, Level.ERROR, "entry {} did not start: {}"),
+    REQUEST_FAILED(5007, Level.INFO, "request {} of workspace {} to pipeline {} failed: {} (ran {}, effects {})");
+
+    private final int number;
+    private final Level level;
+    private final String template;
+
+    EntryEvent(int number, Level level, String template) {
+        this.number = number;
+        this.level = level;
+        this.template = template;
+    }
+
+    @Override
+    public int number() {
+        return number;
+    }
+
+    @Override
+    public Level level() {
+        return level;
+    }
+
+    @Override
+    public String template() {
+        return template;
+    }
+}
--- /dev/null
+++ b/masticfold-entry/src/main/java/io/masticfold/entry/http/AnswerObserver.java
@@ -0,0 +1,37 @@
+package io.masticfold.entry.http;
+
+import io.masticfold.core.limit.AdmissionTicket;
+import io.masticfold.core.pipeline.PipelineRequest;
+import io.masticfold.core.pipeline.PipelineResult;
+import io.masticfold.core.pipeline.RequestFailure;
+import io.masticfold.core.telemetry.Telemetry;
+import io.masticfold.core.time.TimeSource;
+
+/** Ends the admission ticket of a request and records its answer. */
+final class AnswerObserver implements RequestObserver {
+
+    private final AdmissionTicket ticket;
+    private final Attainment attainment;
+    private final Telemetry telemetry;
+    private final TimeSource time;
+
+    AnswerObserver(AdmissionTicket ticket, Attainment attainment, Telemetry telemetry, TimeSource time) {
+        this.ticket = ticket;
+        this.attainment = attainment;
+        this.telemetry = telemetry;
+        this.time = time;
+    }
+
+    @Override
+    public void completed(PipelineRequest request, PipelineResult _result) {
+        ticket.completed();
+        attainment.answered(request.contract(), !request.deadline().expired(time));
+    }
+
+    @Override
+    public void failed(PipelineRequest request, RequestFailure failure) {
+        ticket.failed(failure.kind());
+        telemetry.refused(failure.kind());
+        attainment.answered(request.contract(), false);
+    }
+}
--- /dev/null
+++ b/masticfold-entry/src/main/java/io/masticfold/entry/http/DigestSupport.java
@@ -0,0 +1,22 @@
+package io.masticfold.entry.http;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/** Computes digests of caller keys. */
+final class DigestSupport {
+
+    private DigestSupport() {}
+
+    /** Returns the SHA-256 of a text in lower-case hexadecimal digits. */
+    static String sha256(String text) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            return HexFormat.of().formatHex(digest.digest(text.getBytes(StandardCharsets.UTF_8)));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/masticfold-entry/src/main/java/io/masticfold/entry/http/package-info.java
@@ -0,0 +1,5 @@
+/** HTTP for callers and operators. */
+@NullMarked
+package io.masticfold.entry.http;
+
+import org.jspecify.annotations.NullMarked;
--- a/masticfold-entry/src/main/java/io/masticfold/entry/package-info.java
+++ b/masticfold-entry/src/main/java/io/masticfold/entry/package-info.java
@@ -1,2 +1,5 @@
-/** Root package of the masticfold-entry module. */
+/** The entry daemon: callers and operators over HTTP, links to the agents, claims. */
+@NullMarked
 package io.masticfold.entry;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/metrics/package-info.java
@@ -0,0 +1,5 @@
+/** Metrics through Micrometer. */
+@NullMarked
+package io.masticfold.platform.metrics;
+
+import org.jspecify.annotations.NullMarked;
