Add shared workspace quotas and shedding by worth per cost

Cause: contract rates must hold over all entries without a write per request, and under overload the least worth per unit of cost must go first, at the entry. Ruled out: limit divided by the number of entries alone, which wastes the part of idle entries; and a fixed admission threshold, which needs to know the capacity. Found by test: with fewer than ten ended attempts a window the admitted share never grew again (PoolShedderTests.admitsAllAgainAfterTheOverload failed); a quiet window without overload now counts.

--- a/masticfold-core/src/main/java/io/masticfold/core/config/ConfigDigestSupport.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/config/ConfigDigestSupport.java
@@ -9,9 +9,10 @@
     private ConfigDigestSupport() {}
 
     static long hash(ObjectKey key, long version) {
-        long hash = mix(key.kind().ordinal());
-        for (int i = 0; i < key.name().length(); i++) {
-            hash = mix(hash ^ key.name().charAt(i));
+        String text = key.toString();
+        long hash = 0;
+        for (int i = 0; i < text.length(); i++) {
+            hash = mix(hash ^ text.charAt(i));
         }
         return mix(hash ^ version);
     }
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/limit/QuotaClient.java
@@ -0,0 +1,127 @@
+package io.masticfold.core.limit;
+
+import io.masticfold.core.model.Contract;
+import io.masticfold.core.routing.RendezvousSupport;
+import io.masticfold.core.time.TimeSource;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Measures the demand of each workspace at this entry and keeps the shares that the coordinators answered. A workspace
+ * is coordinated by the agent with the highest rendezvous weight, so entries agree on it without talking to each other.
+ * A share older than two seconds gives way to the even part. Safe for use by several threads.
+ */
+public final class QuotaClient implements RateShares {
+
+    private static final long SHARE_TERM_NANOS = TimeUnit.SECONDS.toNanos(2);
+    private static final double DEMAND_WEIGHT = 0.5;
+    private static final double NANOS_PER_SECOND = 1e9;
+    /** Least share of the even part, so that an idle entry can take the first requests of a burst. */
+    private static final double MIN_SHARE_OF_EVEN = 0.1;
+
+    private final TimeSource time;
+    private final Map<String, State> states = new ConcurrentHashMap<>();
+    private volatile int knownEntries = 1;
+
+    /** Creates a client that knows no other entry. */
+    public QuotaClient(TimeSource time) {
+        this.time = time;
+    }
+
+    @Override
+    public double share(Contract contract) {
+        State state = state(contract);
+        state.arrivals.increment();
+        return rate(contract, state);
+    }
+
+    /** Sets the number of entries the agents see; it divides the rate while no coordinator answers. */
+    public void entries(int entries) {
+        knownEntries = Math.max(1, entries);
+    }
+
+    /** Takes the shares a coordinator answered. */
+    public void receive(List<WorkspaceShare> shares) {
+        long now = time.nanoTime();
+        for (WorkspaceShare share : shares) {
+            State state = states.get(share.workspace());
+            if (state != null) {
+                state.granted = new Grant(share.perSecond(), now);
+            }
+        }
+    }
+
+    /**
+     * Measures the demand since the last call and assigns each active workspace to its coordinator.
+     *
+     * @param agents names of the agents with a usable link
+     * @return demand by the name of the coordinating agent
+     */
+    public Map<String, List<WorkspaceDemand>> report(Collection<String> agents) {
+        Map<String, List<WorkspaceDemand>> byAgent = new HashMap<>();
+        long now = time.nanoTime();
+        for (Map.Entry<String, State> entry : states.entrySet()) {
+            State state = entry.getValue();
+            double demand = state.measure(now);
+            Optional<String> coordinator = coordinator(entry.getKey(), agents);
+            if (coordinator.isPresent() && demand > 0) {
+                byAgent.computeIfAbsent(coordinator.get(), _name -> new ArrayList<>())
+                        .add(new WorkspaceDemand(entry.getKey(), demand, state.limit));
+            }
+        }
+        return byAgent;
+    }
+
+    /** Returns the agent that coordinates a workspace, empty if there is no agent. */
+    static Optional<String> coordinator(String workspace, Collection<String> agents) {
+        long key = RendezvousSupport.key(workspace);
+        return agents.stream().max(Comparator.comparingLong(agent -> RendezvousSupport.weight(key, agent)));
+    }
+
+    private double rate(Contract contract, State state) {
+        double even = contract.requestsPerSecond() / knownEntries;
+        Grant grant = state.granted;
+        if (grant == null || time.nanoTime() - grant.atNanos() > SHARE_TERM_NANOS) {
+            return even;
+        }
+        return Math.min(contract.requestsPerSecond(), Math.max(grant.perSecond(), even * MIN_SHARE_OF_EVEN));
+    }
+
+    private State state(Contract contract) {
+        State state = states.computeIfAbsent(contract.workspace(), _name -> new State(time.nanoTime()));
+        state.limit = contract.requestsPerSecond();
+        return state;
+    }
+
+    private record Grant(double perSecond, long atNanos) {}
+
+    private static final class State {
+
+        private final LongAdder arrivals = new LongAdder();
+        private volatile double limit = 1;
+        private volatile @Nullable Grant granted;
+        private double demand;
+        private long measuredNanos;
+
+        State(long now) {
+            measuredNanos = now;
+        }
+
+        synchronized double measure(long now) {
+            double seconds = Math.max(1, now - measuredNanos) / NANOS_PER_SECOND;
+            double rate = arrivals.sumThenReset() / seconds;
+            demand = rate > demand ? rate : demand + DEMAND_WEIGHT * (rate - demand);
+            measuredNanos = now;
+            return demand;
+        }
+    }
+}
--- a/masticfold-core/src/main/java/io/masticfold/core/routing/DefaultRouter.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/routing/DefaultRouter.java
@@ -4,6 +4,7 @@
 import io.masticfold.core.link.AgentLink;
 import io.masticfold.core.link.AgentLinks;
 import io.masticfold.core.model.Target;
+import io.masticfold.core.shed.PoolSignals;
 import io.masticfold.core.time.TimeSource;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,6 +25,7 @@
     private final RouterSettings settings;
     private final RoutingPolicy policy;
     private final TimeSource time;
+    private final PoolSignals signals;
     private final Map<String, TargetStats> stats = new ConcurrentHashMap<>();
 
     DefaultRouter(
@@ -31,12 +33,14 @@
             AgentLinks links,
             RouterSettings settings,
             RoutingPolicy policy,
-            TimeSource time) {
+            TimeSource time,
+            PoolSignals signals) {
         this.config = config;
         this.links = links;
         this.settings = settings;
         this.policy = policy;
         this.time = time;
+        this.signals = signals;
     }
 
     /**
@@ -47,14 +51,16 @@
      * @param settings the settings
      * @param time the time source
      * @param random the random source; must be safe for use by several threads
+     * @param signals hears how attempts end
      */
     public static DefaultRouter create(
             Supplier<ConfigSnapshot> config,
             AgentLinks links,
             RouterSettings settings,
             TimeSource time,
-            RandomGenerator random) {
-        return new DefaultRouter(config, links, settings, new ExpectedTimePolicy(settings, random), time);
+            RandomGenerator random,
+            PoolSignals signals) {
+        return new DefaultRouter(config, links, settings, new ExpectedTimePolicy(settings, random), time, signals);
     }
 
     @Override
@@ -65,7 +71,7 @@
         }
         Candidate chosen = policy.choose(withoutEjected(usable), request);
         chosen.stats().acquire();
-        return Optional.of(new DefaultRoute(chosen, settings, time));
+        return Optional.of(new DefaultRoute(chosen, settings, time, signals));
     }
 
     private List<Candidate> candidates(RouteRequest request) {
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/shed/PoolShedder.java
@@ -0,0 +1,130 @@
+package io.masticfold.core.shed;
+
+import io.masticfold.core.time.TimeSource;
+import java.util.Arrays;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.DoubleAdder;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.random.RandomGenerator;
+
+/**
+ * Sheds the requests of least worth per unit of cost when a pool is overloaded.
+ *
+ * <p>The admitted share of the offered cost falls with the share of attempts refused for lack of capacity, and grows
+ * slowly otherwise. A histogram of the offered cost by worth per cost turns the share into a cut-off; the bucket at the
+ * cut-off is admitted in part, so that equal requests do not swing between all and none.
+ */
+final class PoolShedder {
+
+    private static final int BUCKETS = 128;
+    private static final int BUCKETS_PER_OCTAVE = 4;
+    private static final int MIDDLE = BUCKETS / 2;
+    private static final double HISTOGRAM_DECAY = 0.8;
+    private static final double LOG_2 = Math.log(2);
+
+    private final ShedSettings settings;
+    private final TimeSource time;
+    private final RandomGenerator random;
+    private final DoubleAdder[] offered = new DoubleAdder[BUCKETS];
+    private final double[] histogram = new double[BUCKETS];
+    private final LongAdder ended = new LongAdder();
+    private final LongAdder overloaded = new LongAdder();
+    private final AtomicLong windowEnd;
+    private volatile Cutoff cutoff = Cutoff.OPEN;
+    private volatile double admittedShare = 1;
+
+    PoolShedder(ShedSettings settings, TimeSource time, RandomGenerator random) {
+        this.settings = settings;
+        this.time = time;
+        this.random = random;
+        this.windowEnd = new AtomicLong(time.nanoTime() + windowNanos());
+        Arrays.setAll(offered, _bucket -> new DoubleAdder());
+    }
+
+    /** Records an offered request and decides whether it is admitted. */
+    boolean admit(double worth, double cost) {
+        int bucket = bucket(worth / cost);
+        offered[bucket].add(cost);
+        adjust();
+        Cutoff current = cutoff;
+        if (bucket == current.bucket()) {
+            return random.nextDouble() < current.part();
+        }
+        return bucket > current.bucket();
+    }
+
+    void observe(boolean wasOverloaded) {
+        ended.increment();
+        if (wasOverloaded) {
+            overloaded.increment();
+        }
+        adjust();
+    }
+
+    /** Returns the share of the offered cost that is admitted. */
+    double admittedShare() {
+        return admittedShare;
+    }
+
+    private void adjust() {
+        long now = time.nanoTime();
+        long end = windowEnd.get();
+        if (now - end < 0 || !windowEnd.compareAndSet(end, now + windowNanos())) {
+            return;
+        }
+        synchronized (histogram) {
+            adjustShare();
+            adjustCutoff();
+        }
+    }
+
+    /** A window with few samples counts only if none of them was overloaded; otherwise the samples are carried over. */
+    private void adjustShare() {
+        if (ended.sum() < settings.minimumSamples() && overloaded.sum() > 0) {
+            return;
+        }
+        double share = overloaded.sumThenReset() / (double) Math.max(1, ended.sumThenReset());
+        if (share > settings.overloadShare()) {
+            double factor = Math.max(settings.decreaseLeast(), 1 - share / 2);
+            admittedShare = Math.max(settings.floor(), admittedShare * factor);
+        } else {
+            double grown = admittedShare * (1 + settings.growth()) + settings.increase();
+            admittedShare = Math.min(1, grown);
+        }
+    }
+
+    private void adjustCutoff() {
+        double total = 0;
+        for (int i = 0; i < BUCKETS; i++) {
+            histogram[i] = histogram[i] * HISTOGRAM_DECAY + offered[i].sumThenReset();
+            total += histogram[i];
+        }
+        cutoff = admittedShare >= 1 ? Cutoff.OPEN : cutoff(total * admittedShare);
+    }
+
+    private Cutoff cutoff(double admittedCost) {
+        double left = admittedCost;
+        for (int i = BUCKETS - 1; i >= 0; i--) {
+            if (histogram[i] > left) {
+                return new Cutoff(i, left / histogram[i]);
+            }
+            left -= histogram[i];
+        }
+        return Cutoff.OPEN;
+    }
+
+    private static int bucket(double worthPerCost) {
+        double octaves = Math.log(worthPerCost) / LOG_2;
+        int bucket = MIDDLE + (int) Math.floor(octaves * BUCKETS_PER_OCTAVE);
+        return Math.max(0, Math.min(BUCKETS - 1, bucket));
+    }
+
+    private long windowNanos() {
+        return TimeUnit.MILLISECONDS.toNanos(settings.windowMillis());
+    }
+
+    private record Cutoff(int bucket, double part) {
+        static final Cutoff OPEN = new Cutoff(-1, 1);
+    }
+}
