Add the JSON codec, the object file checker and the settings

Cause: objects and settings are JSON files that operators edit, and both the command line and the readers must refuse the same faults with the same words.

Each fault names file, line, JSON path, value and what is accepted; a key that differs from an accepted one only in its unit is answered with the accepted key.

Ruled out: binding records by reflection, because its exceptions carry no line for range faults and stop at the first fault.

--- /dev/null
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/json/ConfigValidator.java
@@ -0,0 +1,104 @@
+package io.masticfold.platform.json;
+
+import io.masticfold.core.config.ObjectKey;
+import io.masticfold.core.model.Contract;
+import io.masticfold.core.model.DesiredModel;
+import io.masticfold.core.model.ObjectKind;
+import io.masticfold.core.model.Pipeline;
+import io.masticfold.core.model.Target;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+
+/** Checks a whole set of objects: references that lead nowhere, and names, workspaces and keys that are used twice. */
+public final class ConfigValidator {
+
+    private final Collection<SpecEntry> entries;
+    private final Set<ObjectKey> keys;
+    private final Set<String> pools;
+    private final List<JsonProblem> problems = new ArrayList<>();
+
+    private ConfigValidator(Collection<SpecEntry> entries) {
+        this.entries = entries;
+        this.keys = entries.stream().map(SpecEntry::key).collect(Collectors.toCollection(TreeSet::new));
+        this.pools = entries.stream()
+                .map(SpecEntry::spec)
+                .filter(Target.class::isInstance)
+                .map(spec -> ((Target) spec).pool())
+                .collect(Collectors.toCollection(TreeSet::new));
+    }
+
+    /** Returns the faults of a set, in the order of its objects. */
+    public static List<JsonProblem> validate(Collection<SpecEntry> entries) {
+        ConfigValidator validator = new ConfigValidator(entries);
+        validator.checkDuplicates();
+        entries.forEach(validator::checkReferences);
+        return List.copyOf(validator.problems);
+    }
+
+    private void checkDuplicates() {
+        Map<String, SpecEntry> seen = new HashMap<>();
+        for (SpecEntry entry : entries) {
+            unique(
+                    seen,
+                    entry,
+                    "name",
+                    entry.spec().kind().code() + " name",
+                    entry.spec().name());
+            if (entry.spec() instanceof Contract contract) {
+                unique(seen, entry, "workspace", "workspace of a contract", contract.workspace());
+                unique(seen, entry, "keySha256", "caller key of a contract", contract.keySha256());
+            } else if (entry.spec() instanceof Target target) {
+                unique(seen, entry, "agent", "agent address", target.agent());
+            }
+        }
+    }
+
+    private void unique(Map<String, SpecEntry> seen, SpecEntry entry, String field, String what, String value) {
+        SpecEntry first = seen.putIfAbsent(what + ' ' + value, entry);
+        if (first != null) {
+            String place = first.key() + " at " + first.source() + ':' + first.line();
+            problems.add(entry.problem(field, value, what + " is used twice, first by " + place));
+        }
+    }
+
+    private void checkReferences(SpecEntry entry) {
+        if (entry.spec() instanceof Contract contract) {
+            contract.pipelines().forEach(name -> reference(entry, "pipelines", ObjectKind.PIPELINE, name));
+        } else if (entry.spec() instanceof Pipeline pipeline) {
+            pipeline.stages().forEach(stage -> pool(entry, stage.pool()));
+        } else if (entry.spec() instanceof Target target) {
+            reference(entry, "zone", ObjectKind.ZONE, target.zone());
+            DesiredModel desired = target.desired();
+            if (desired != null) {
+                reference(entry, "desired.model", ObjectKind.MODEL, desired.model());
+            }
+        }
+    }
+
+    private void pool(SpecEntry entry, String pool) {
+        if (!pools.contains(pool)) {
+            String accepted = "pool has no target; accepted: " + listed(pools);
+            problems.add(entry.problem("stages", pool, accepted));
+        }
+    }
+
+    private void reference(SpecEntry entry, String field, ObjectKind kind, String name) {
+        if (!keys.contains(new ObjectKey(kind, name))) {
+            Set<String> names = keys.stream()
+                    .filter(key -> key.kind() == kind)
+                    .map(ObjectKey::name)
+                    .collect(Collectors.toCollection(TreeSet::new));
+            problems.add(entry.problem(field, name, "no such " + kind.code() + "; accepted: " + listed(names)));
+        }
+    }
+
+    private static String listed(Set<String> names) {
+        return names.isEmpty() ? "none defined" : String.join(", ", names);
+    }
+}
--- /dev/null
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/json/FieldReader.java
@@ -0,0 +1,283 @@
+package io.masticfold.platform.json;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads the fields of one JSON object. A missing, mistyped or out-of-range field is recorded as a fault of the
+ * document, and a placeholder is returned so that the remaining fields are checked too; {@link #build} gives no value
+ * once a fault was recorded. Not safe for use by several threads.
+ */
+public final class FieldReader {
+
+    private static final JsonNode MISSING = MissingNode.getInstance();
+
+    private final JsonDocument document;
+    private final ObjectNode node;
+    private final String path;
+    private final boolean present;
+    private final int problemsBefore;
+    private final Set<String> accepted = new LinkedHashSet<>();
+
+    FieldReader(JsonDocument document, ObjectNode node, String path) {
+        this(document, node, path, true);
+    }
+
+    FieldReader(JsonDocument document, ObjectNode node, String path, boolean present) {
+        this.document = document;
+        this.node = node;
+        this.path = path;
+        this.present = present;
+        this.problemsBefore = document.problemCount();
+    }
+
+    /** Returns the JSON path of the object. */
+    public String path() {
+        return path;
+    }
+
+    /** Returns the line of the object. */
+    public int line() {
+        return document.line(path);
+    }
+
+    /** Returns whether the object has a key; the key counts as accepted from now on. */
+    public boolean has(String key) {
+        return !field(key).isMissingNode();
+    }
+
+    /** Records a fault of a field. */
+    public void report(String key, String message) {
+        document.report(path(key), node.path(key), message);
+    }
+
+    /** Reads a required text. */
+    public String text(String key) {
+        return required(key, "a text", value -> value.isTextual() ? value.textValue() : null, "");
+    }
+
+    /** Reads a text that may be left out. */
+    public String text(String key, String fallback) {
+        return has(key) ? text(key) : fallback;
+    }
+
+    /** Reads a required secret; its value is never part of a message. */
+    public String secret(String key, int leastChars) {
+        JsonNode value = field(key);
+        if (value.isTextual() && value.textValue().length() >= leastChars) {
+            return value.textValue();
+        }
+        String problem = value.isMissingNode() ? "missing key" : "value withheld";
+        document.report(path(key), null, problem + "; accepted: a text of at least " + leastChars + " characters");
+        return "";
+    }
+
+    /** Reads a required whole number. */
+    public int integer(String key, int least, int most) {
+        return (int) wholeNumber(key, least, most);
+    }
+
+    /** Reads a whole number that may be left out. */
+    public int integer(String key, int least, int most, int fallback) {
+        return has(key) ? integer(key, least, most) : fallback;
+    }
+
+    /** Reads a required whole number. */
+    public long wholeNumber(String key, long least, long most) {
+        String range = most == Long.MAX_VALUE ? "at least " + least : least + " to " + most;
+        return required(
+                key,
+                "a whole number, " + range,
+                value -> value.isIntegralNumber()
+                                && value.canConvertToLong()
+                                && value.longValue() >= least
+                                && value.longValue() <= most
+                        ? value.longValue()
+                        : null,
+                least);
+    }
+
+    /** Reads a required number above zero. */
+    public double positive(String key) {
+        return required(
+                key,
+                "a number above 0",
+                value -> value.isNumber() && value.doubleValue() > 0 && Double.isFinite(value.doubleValue())
+                        ? value.doubleValue()
+                        : null,
+                1.0);
+    }
+
+    /** Reads a required truth value. */
+    public boolean requiredFlag(String key) {
+        return required(key, "true or false", value -> value.isBoolean() ? value.booleanValue() : null, false);
+    }
+
+    /** Reads a truth value that may be left out. */
+    public boolean flag(String key, boolean fallback) {
+        return has(key) ? requiredFlag(key) : fallback;
+    }
+
+    /** Reads a required constant of an enum, written in lower case. */
+    public <E extends Enum<E>> E choice(String key, Class<E> type) {
+        E[] constants = type.getEnumConstants();
+        String codes = Arrays.stream(constants).map(FieldReader::code).collect(Collectors.joining(", "));
+        return required(
+                key,
+                "one of " + codes,
+                value -> Arrays.stream(constants)
+                        .filter(constant -> value.isTextual() && code(constant).equals(value.textValue()))
+                        .findFirst()
+                        .orElse(null),
+                constants[0]);
+    }
+
+    /** Reads a constant of an enum that may be left out. */
+    public <E extends Enum<E>> E choice(String key, Class<E> type, E fallback) {
+        return has(key) ? choice(key, type) : fallback;
+    }
+
+    /** Reads a required address of a numeric IP address and a port from 1. */
+    public InetSocketAddress address(String key) {
+        return required(
+                key,
+                AddressSupport.ACCEPTED,
+                value -> value.isTextual()
+                        ? AddressSupport.parse(value.textValue()).orElse(null)
+                        : null,
+                AddressSupport.PLACEHOLDER);
+    }
+
+    /** Reads a required list of texts. */
+    public List<String> texts(String key) {
+        return elements(key).stream()
+                .map(element -> element.value().isTextual() ? element.value().textValue() : reportText(element))
+                .toList();
+    }
+
+    /** Reads a required list of objects. */
+    public List<FieldReader> objects(String key) {
+        return elements(key).stream()
+                .map(element -> document.reader(element.value(), element.path()))
+                .toList();
+    }
+
+    /** Reads an object that may be left out. */
+    public Optional<FieldReader> object(String key) {
+        return has(key) ? Optional.of(document.reader(node.get(key), path(key))) : Optional.empty();
+    }
+
+    /** Reads an object with free keys that may be left out, as its JSON values by key. */
+    public Map<String, JsonNode> values(String key) {
+        Map<String, JsonNode> values = new LinkedHashMap<>();
+        if (has(key)) {
+            JsonNode map = required(key, "an object", value -> value.isObject() ? value : null, JsonSupport.object());
+            map.properties().forEach(entry -> values.put(entry.getKey(), entry.getValue()));
+        }
+        return values;
+    }
+
+    /** Records every key that was not read as unknown. */
+    public void finish() {
+        if (!present) {
+            return;
+        }
+        node.fieldNames().forEachRemaining(key -> {
+            if (!accepted.contains(key)) {
+                document.report(path(key), null, unknown(key));
+            }
+        });
+    }
+
+    /**
+     * Finishes reading and builds a value from the fields.
+     *
+     * @param constructor may refuse the values with an {@link IllegalArgumentException}, recorded as a fault
+     * @return the value; empty if any fault was recorded since this reader was created
+     */
+    public <T> Optional<T> build(Supplier<T> constructor) {
+        finish();
+        if (!present || document.problemCount() > problemsBefore) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(constructor.get());
+        } catch (IllegalArgumentException e) {
+            reportRefusal(String.valueOf(e.getMessage()));
+            return Optional.empty();
+        }
+    }
+
+    private void reportRefusal(String message) {
+        // Messages of the records start with the name of the field, so the fault can be placed at its key.
+        String word = message.split("[ =]", 2)[0];
+        document.report(node.has(word) ? path(word) : path, node.has(word) ? node.get(word) : null, message);
+    }
+
+    private String unknown(String key) {
+        String known = "unknown key; accepted: " + String.join(", ", accepted);
+        return UnitSupport.meant(key, accepted)
+                .map(meant -> "unknown key, use " + meant + "; accepted: " + String.join(", ", accepted))
+                .orElse(known);
+    }
+
+    private String reportText(Element element) {
+        document.report(element.path(), element.value(), "accepted: a text");
+        return "";
+    }
+
+    private List<Element> elements(String key) {
+        JsonNode list = required(key, "a list", value -> value.isArray() ? value : null, MISSING);
+        List<Element> elements = new ArrayList<>();
+        for (int i = 0; i < list.size(); i++) {
+            elements.add(new Element(list.get(i), path(key) + '[' + i + ']'));
+        }
+        return elements;
+    }
+
+    private <T> T required(String key, String what, Function<JsonNode, @Nullable T> convert, T placeholder) {
+        JsonNode value = field(key);
+        if (value.isMissingNode()) {
+            if (present) {
+                document.report(path(key), null, "missing key; accepted: " + what);
+            }
+            return placeholder;
+        }
+        T converted = convert.apply(value);
+        if (converted == null) {
+            document.report(path(key), value, "accepted: " + what);
+            return placeholder;
+        }
+        return converted;
+    }
+
+    private JsonNode field(String key) {
+        accepted.add(key);
+        return node.path(key);
+    }
+
+    private String path(String key) {
+        return path + '.' + key;
+    }
+
+    private static String code(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT);
+    }
+
+    private record Element(JsonNode value, String path) {}
+}
--- /dev/null
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/json/JsonProblem.java
@@ -0,0 +1,30 @@
+package io.masticfold.platform.json;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Describes one fault in a JSON text.
+ *
+ * @param source name of the file or of the origin of the text
+ * @param line line of the key or value, from 1
+ * @param path JSON path of the key, {@code $} for the whole text
+ * @param value the offending value as JSON, null if the fault is not about a value
+ * @param message what is wrong and what would be accepted
+ */
+public record JsonProblem(String source, int line, String path, @Nullable String value, String message) {
+
+    private static final int MAX_VALUE_CHARS = 120;
+
+    /** Shortens a long value. */
+    public JsonProblem {
+        if (value != null && value.length() > MAX_VALUE_CHARS) {
+            value = value.substring(0, MAX_VALUE_CHARS) + "...";
+        }
+    }
+
+    @Override
+    public String toString() {
+        String found = value == null ? "" : ", found " + value;
+        return source + ":" + line + ": " + path + ": " + message + found;
+    }
+}
--- /dev/null
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/json/ObjectFileReader.java
@@ -0,0 +1,50 @@
+package io.masticfold.platform.json;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.masticfold.core.model.ObjectKind;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Reads object files: one envelope {@code {"kind","name","spec"}} or a list of envelopes. */
+public final class ObjectFileReader {
+
+    private ObjectFileReader() {}
+
+    /**
+     * Reads a file's text.
+     *
+     * @param source name of the file, for messages
+     * @param text the JSON text
+     * @throws JsonProblemException with every fault of the file
+     */
+    public static List<SpecEntry> read(String source, String text) throws JsonProblemException {
+        JsonDocument document = JsonDocument.parse(source, text);
+        List<SpecEntry> entries = new ArrayList<>();
+        JsonNode root = document.root();
+        if (root.isArray()) {
+            for (int i = 0; i < root.size(); i++) {
+                envelope(document, root.get(i), "$[" + i + ']', entries);
+            }
+        } else {
+            envelope(document, root, "$", entries);
+        }
+        document.check();
+        return List.copyOf(entries);
+    }
+
+    private static void envelope(JsonDocument document, JsonNode node, String path, List<SpecEntry> entries) {
+        FieldReader fields = document.reader(node, path);
+        ObjectKind kind = fields.choice("kind", ObjectKind.class);
+        String name = fields.text("name");
+        boolean known = fields.has("kind")
+                && ObjectKind.ofCode(node.path("kind").asText()).isPresent();
+        if (fields.object("spec").isEmpty()) {
+            fields.report("spec", "missing key; accepted: an object");
+        } else if (known && !name.isEmpty()) {
+            fields.object("spec")
+                    .flatMap(spec -> SpecReader.read(kind, name, spec))
+                    .ifPresent(spec -> entries.add(new SpecEntry(document.source(), fields.line(), path, spec)));
+        }
+        fields.finish();
+    }
+}
--- /dev/null
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/json/SpecEntry.java
@@ -0,0 +1,25 @@
+package io.masticfold.platform.json;
+
+import io.masticfold.core.config.ObjectKey;
+import io.masticfold.core.model.ConfigSpec;
+
+/**
+ * Holds a specification with the place it was read from.
+ *
+ * @param source name of the file or of the origin of the text
+ * @param line line of the object, from 1
+ * @param path JSON path of the object
+ * @param spec the specification
+ */
+public record SpecEntry(String source, int line, String path, ConfigSpec spec) {
+
+    /** Returns the identity of the object. */
+    public ObjectKey key() {
+        return new ObjectKey(spec.kind(), spec.name());
+    }
+
+    /** Creates a fault of this object. */
+    JsonProblem problem(String field, String value, String message) {
+        return new JsonProblem(source, line, path + ".spec." + field, '"' + value + '"', message);
+    }
+}
--- /dev/null
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/settings/AgentSettings.java
@@ -0,0 +1,48 @@
+package io.masticfold.platform.settings;
+
+import java.net.InetSocketAddress;
+
+/**
+ * Holds the settings of an agent.
+ *
+ * @param name name of the process, unique in the deployment
+ * @param zone availability zone of its slot
+ * @param region region of its slot
+ * @param target name of the target beside it
+ * @param listen address for links from entries
+ * @param admin address for operators: health and metrics
+ * @param targetAddress address of the target
+ * @param sharedSecret secret shared by entries and agents, at least 16 characters
+ * @param drainMillis longest wait for work in progress at shutdown, in milliseconds, 0 to 600,000
+ */
+public record AgentSettings(
+        String name,
+        String zone,
+        String region,
+        String target,
+        InetSocketAddress listen,
+        InetSocketAddress admin,
+        InetSocketAddress targetAddress,
+        String sharedSecret,
+        int drainMillis) {
+
+    /** Longest wait for work in progress at shutdown unless set, in milliseconds. */
+    public static final int DEFAULT_DRAIN_MILLIS = 30_000;
+
+    static final int MAX_DRAIN_MILLIS = 600_000;
+
+    /** Checks the ranges. */
+    public AgentSettings {
+        SettingsSupport.checkName("name", name);
+        SettingsSupport.checkName("zone", zone);
+        SettingsSupport.checkName("region", region);
+        SettingsSupport.checkName("target", target);
+        SettingsSupport.checkSecret(sharedSecret);
+        SettingsSupport.checkRange("drainMillis", drainMillis, 0, MAX_DRAIN_MILLIS);
+    }
+
+    @Override
+    public String toString() {
+        return "AgentSettings[name=" + name + ", zone=" + zone + ", target=" + target + ", listen=" + listen + ']';
+    }
+}
