--- /dev/null
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/AbstractConnection.java
@@ -0,0 +1,254 @@
+package io.masticfold.wire;
+
+import io.masticfold.core.config.ConfigSnapshot;
+import io.masticfold.core.time.Cancellable;
+import io.masticfold.wire.proto.Frame;
+import io.masticfold.wire.proto.Heartbeat;
+import io.masticfold.wire.proto.QuotaDemand;
+import io.masticfold.wire.proto.QuotaShare;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.util.concurrent.Future;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Handles what both sides of an authenticated connection share: heartbeats and configuration. */
+abstract class AbstractConnection extends SimpleChannelInboundHandler<Frame> {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(AbstractConnection.class);
+
+    private final WireEnvironment environment;
+    private final Peer peer;
+    private final Consumer<Heartbeat> heard;
+    private final ConfigSync sync;
+    private @Nullable ChannelHandlerContext context;
+    private Cancellable ticks = Cancellable.NONE;
+    private volatile long lastHeardNanos;
+    private volatile boolean open = true;
+    private volatile boolean peerLeaving;
+    private long sequence;
+    private boolean ended;
+
+    /**
+     * Creates a connection.
+     *
+     * @param environment what the links of the process share
+     * @param deltas codec of configuration deltas
+     * @param peer the authenticated peer
+     * @param heard takes the fields of a heartbeat that are particular to the side
+     */
+    AbstractConnection(WireEnvironment environment, ConfigDeltas deltas, Peer peer, Consumer<Heartbeat> heard) {
+        super(Frame.class);
+        this.environment = environment;
+        this.peer = peer;
+        this.heard = heard;
+        this.sync = new ConfigSync(environment, deltas, peer.identity(), this::send);
+        // A peer counts as heard when its proof arrives: the first heartbeat follows at once.
+        this.lastHeardNanos = environment.time().nanoTime();
+    }
+
+    /** Handles a frame that is neither a heartbeat nor part of the configuration exchange. */
+    abstract void receive(Frame frame);
+
+    /** Creates a heartbeat with the fields that are particular to the side. */
+    abstract Heartbeat.Builder report();
+
+    /** Starts to work; the connection can send from here on. */
+    abstract void opened();
+
+    /** Ends everything open on the connection; the last call. */
+    abstract void closed();
+
+    /** Returns the number of attempts without an outcome. */
+    abstract int openAttempts();
+
+    final WireEnvironment environment() {
+        return environment;
+    }
+
+    final Peer peer() {
+        return peer;
+    }
+
+    final ConfigSync sync() {
+        return sync;
+    }
+
+    final boolean peerLeaving() {
+        return peerLeaving;
+    }
+
+    /** Returns whether the connection is open and a heartbeat has arrived recently. */
+    final boolean alive() {
+        return open && silenceNanos() < WireLimits.USABLE_SILENCE.toNanos();
+    }
+
+    private long silenceNanos() {
+        return environment.time().nanoTime() - lastHeardNanos;
+    }
+
+    final ChannelHandlerContext context() {
+        ChannelHandlerContext ctx = context;
+        if (ctx == null) {
+            throw new IllegalStateException("the connection with " + peer.identity() + " is not open yet");
+        }
+        return ctx;
+    }
+
+    /** Sends a frame. Must be called on the loop. */
+    final void send(Frame frame) {
+        context().writeAndFlush(frame, context().voidPromise());
+    }
+
+    /**
+     * Runs a task on the loop of the connection.
+     *
+     * @return false if the loop has ended, so that the task never runs
+     */
+    final boolean execute(Runnable task) {
+        try {
+            context().executor().execute(task);
+            return true;
+        } catch (RejectedExecutionException _e) {
+            return false;
+        }
+    }
+
+    final void close() {
+        context().close();
+    }
+
+    /** Pushes a change of the configuration; safe to call from any thread. */
+    final void configChanged() {
+        execute(() -> {
+            if (open) {
+                sync.changed();
+            }
+        });
+    }
+
+    /** Returns the state of the link under a name; safe to call from any thread. */
+    final LinkStatus status(String name) {
+        return new LinkStatus(
+                name,
+                alive() && !peerLeaving,
+                peerLeaving,
+                peer.identity().incarnation(),
+                sync.peerRevision(),
+                sync.peerDigest(),
+                TimeUnit.NANOSECONDS.toMicros(peer.roundTripNanos()),
+                openAttempts());
+    }
+
+    @Override
+    public final void handlerAdded(ChannelHandlerContext ctx) {
+        context = ctx;
+        long interval = WireLimits.HEARTBEAT_INTERVAL.toMillis();
+        Future<?> scheduled = ctx.executor().scheduleAtFixedRate(this::tick, interval, interval, TimeUnit.MILLISECONDS);
+        ticks = () -> scheduled.cancel(false);
+        WireEvent.LINK_UP.log(
+                LOGGER,
+                peer.identity().process(),
+                ctx.channel().remoteAddress(),
+                peer.identity().incarnation());
+        opened();
+        sendHeartbeat();
+    }
+
+    @Override
+    public final void channelInactive(ChannelHandlerContext ctx) {
+        end(ctx);
+        ctx.fireChannelInactive();
+    }
+
+    private void end(ChannelHandlerContext ctx) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        open = false;
+        ticks.cancel();
+        WireEvent.LINK_DOWN.log(LOGGER, peer.identity().process(), ctx.channel().remoteAddress(), openAttempts());
+        environment.quota().lost(peer.identity());
+        closed();
+    }
+
+    @Override
+    protected final void channelRead0(ChannelHandlerContext ctx, Frame frame) {
+        switch (frame.getMessageCase()) {
+            case HEARTBEAT -> heartbeat(frame.getHeartbeat());
+            case CONFIG_DELTA -> sync.delta(frame.getConfigDelta());
+            case CONFIG_REQUEST -> sync.request(frame.getConfigRequest());
+            case HELLO, PROOF, MESSAGE_NOT_SET ->
+                ConnectionFaults.violation(ctx, environment.telemetry(), "unexpected frame " + frame.getMessageCase());
+            default -> receive(frame);
+        }
+    }
+
+    private void heartbeat(Heartbeat heartbeat) {
+        lastHeardNanos = environment.time().nanoTime();
+        peerLeaving = heartbeat.getLeaving();
+        heard.accept(heartbeat);
+        environment
+                .quota()
+                .received(
+                        peer.identity(),
+                        heartbeat.getDemandList().stream()
+                                .map(demand -> new WorkspaceDemand(
+                                        demand.getWorkspace(),
+                                        demand.getRequestsPerSecond(),
+                                        demand.getLimitPerSecond()))
+                                .toList(),
+                        heartbeat.getShareList().stream()
+                                .map(share -> new WorkspaceShare(share.getWorkspace(), share.getRequestsPerSecond()))
+                                .toList(),
+                        heartbeat.getConnectedEntries());
+        sync.heartbeat(heartbeat);
+    }
+
+    private void tick() {
+        long silence = silenceNanos();
+        if (silence > WireLimits.MAX_SILENCE.toNanos()) {
+            environment.telemetry().count("link_silent");
+            WireEvent.LINK_SILENT.log(
+                    LOGGER,
+                    peer.identity().process(),
+                    context().channel().remoteAddress(),
+                    TimeUnit.NANOSECONDS.toMillis(silence));
+            close();
+            return;
+        }
+        sendHeartbeat();
+    }
+
+    /** Sends a heartbeat now, out of turn. Must be called on the loop. */
+    final void sendHeartbeat() {
+        ConfigSnapshot snapshot = environment.config().snapshot();
+        Heartbeat.Builder heartbeat = report().setSequence(++sequence)
+                .setConfigRevision(snapshot.revision())
+                .setConfigDigest(snapshot.digest());
+        environment
+                .quota()
+                .demand(peer.identity())
+                .forEach(demand -> heartbeat.addDemand(QuotaDemand.newBuilder()
+                        .setWorkspace(demand.workspace())
+                        .setRequestsPerSecond(demand.requestsPerSecond())
+                        .setLimitPerSecond(demand.limitPerSecond())));
+        environment
+                .quota()
+                .shares(peer.identity())
+                .forEach(share -> heartbeat.addShare(QuotaShare.newBuilder()
+                        .setWorkspace(share.workspace())
+                        .setRequestsPerSecond(share.requestsPerSecond())));
+        send(Frame.newBuilder().setHeartbeat(heartbeat).build());
+    }
+
+    @Override
+    public final void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ConnectionFaults.close(ctx, environment.telemetry(), cause);
+    }
+}
--- /dev/null
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/AgentConnection.java
@@ -0,0 +1,229 @@
+package io.masticfold.wire;
+
+import io.masticfold.core.attempt.AttemptId;
+import io.masticfold.core.attempt.Payload;
+import io.masticfold.core.attempt.SealOutcome;
+import io.masticfold.core.attempt.StageDispatch;
+import io.masticfold.core.attempt.StageFailed;
+import io.masticfold.core.attempt.StageRefused;
+import io.masticfold.core.attempt.TargetLoad;
+import io.masticfold.core.error.ErrorKind;
+import io.masticfold.core.error.Ran;
+import io.masticfold.core.link.StageHandler;
+import io.masticfold.wire.proto.Frame;
+import io.masticfold.wire.proto.Heartbeat;
+import io.masticfold.wire.proto.PermitReply;
+import io.masticfold.wire.proto.PermitRequest;
+import io.masticfold.wire.proto.Seal;
+import io.masticfold.wire.proto.WindowUpdate;
+import io.netty.channel.ChannelHandlerContext;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Holds the agent's end of an authenticated connection with an entry. Confined to its loop unless stated. */
+final class AgentConnection extends AbstractConnection {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(AgentConnection.class);
+
+    private final WireServer server;
+    private final StageHandler handler;
+    private final AgentState state;
+    private final Map<AttemptId, InboundAttempt> attempts = new HashMap<>();
+    private final Queue<Consumer<PermitGrant>> permits = new ArrayDeque<>();
+    private volatile int openAttempts;
+    private boolean ended;
+
+    AgentConnection(
+            WireEnvironment environment,
+            ConfigDeltas deltas,
+            Peer peer,
+            WireServer server,
+            StageHandler handler,
+            AgentState state) {
+        super(environment, deltas, peer, _heartbeat -> {});
+        this.server = server;
+        this.handler = handler;
+        this.state = state;
+    }
+
+    @Override
+    void opened() {
+        server.opened(this);
+    }
+
+    @Override
+    int openAttempts() {
+        return openAttempts;
+    }
+
+    @Override
+    Heartbeat.Builder report() {
+        return Heartbeat.newBuilder()
+                .setLeaving(state.leaving())
+                .setLoad(WireMessages.load(state.load()))
+                .setConnectedEntries(server.connectedEntries());
+    }
+
+    TargetLoad load() {
+        return state.load();
+    }
+
+    boolean writable() {
+        return context().channel().isWritable();
+    }
+
+    /** Takes note that the outcome of an attempt goes out now. */
+    void ended(AttemptId attempt) {
+        attempts.remove(attempt);
+        openAttempts = attempts.size();
+    }
+
+    void cancelled(AttemptId attempt) {
+        handler.cancel(attempt);
+    }
+
+    @Override
+    void receive(Frame frame) {
+        switch (frame.getMessageCase()) {
+            case DISPATCH -> dispatch(WireMessages.dispatch(frame.getDispatch()));
+            case CANCEL -> handler.cancel(WireMessages.attempt(frame.getCancel().getAttempt()));
+            case WINDOW_UPDATE -> windowUpdate(frame.getWindowUpdate());
+            case SEAL -> seal(frame.getSeal());
+            case PERMIT_REPLY -> permitReply(frame.getPermitReply());
+            default ->
+                ConnectionFaults.violation(
+                        context(), environment().telemetry(), "unexpected frame " + frame.getMessageCase());
+        }
+    }
+
+    private void dispatch(StageDispatch dispatch) {
+        AttemptId id = dispatch.attempt();
+        if (attempts.containsKey(id)) {
+            // An answer to the copy would carry the id of the attempt in progress and end it at the entry.
+            ignored(id, "duplicate dispatch");
+            return;
+        }
+        InboundAttempt attempt = new InboundAttempt(this, dispatch);
+        if (attempts.size() >= WireLimits.MAX_OPEN_ATTEMPTS) {
+            environment().telemetry().refused(ErrorKind.OVERLOADED);
+            send(WireMessages.outcome(
+                    id, dispatch.streaming(), new StageRefused(ErrorKind.OVERLOADED, Duration.ZERO), state.load()));
+            return;
+        }
+        attempts.put(id, attempt);
+        openAttempts = attempts.size();
+        try {
+            handler.dispatch(dispatch, attempt);
+        } catch (RuntimeException e) {
+            environment().telemetry().count("connection_handler_failed");
+            WireEvent.HANDLER_FAILED.log(LOGGER, context().channel().remoteAddress(), e);
+            attempt.outcome(new StageFailed(ErrorKind.INTERNAL, Ran.UNKNOWN), state.load());
+        }
+    }
+
+    private void ignored(AttemptId attempt, String reason) {
+        environment().telemetry().count("attempt_message_ignored");
+        WireEvent.ATTEMPT_REJECTED.log(LOGGER, attempt, peer().identity().process(), reason);
+    }
+
+    private void windowUpdate(WindowUpdate update) {
+        AttemptId id = WireMessages.attempt(update.getAttempt());
+        InboundAttempt attempt = attempts.get(id);
+        if (attempt == null) {
+            return;
+        }
+        if (update.getBytes() <= 0) {
+            ignored(id, "window update of " + update.getBytes() + " bytes");
+            return;
+        }
+        attempt.grant(update.getBytes());
+        handler.grant(id, update.getBytes());
+    }
+
+    private void seal(Seal seal) {
+        handler.seal(
+                WireMessages.attempt(seal.getAttempt()),
+                WireMessages.incarnation(seal.getAgent()),
+                outcome -> execute(() -> send(WireMessages.sealReply(seal.getSealId(), bounded(outcome)))));
+    }
+
+    /** Replaces a result that no frame can hold: whether the attempt ran must not be answered without it. */
+    private SealOutcome bounded(SealOutcome outcome) {
+        Payload result = outcome.result();
+        if (result != null && result.size() > WireLimits.MAX_FRAME_BYTES - WireLimits.FRAME_OVERHEAD_BYTES) {
+            environment().telemetry().count("result_too_large");
+            return SealOutcome.of(SealOutcome.State.UNKNOWN);
+        }
+        return outcome;
+    }
+
+    /**
+     * Asks the entry for a weight-store permit; safe to call from any thread.
+     *
+     * @param reply takes the answer on the loop, {@link PermitGrant#DENIED} if the link is lost
+     */
+    void requestPermit(String target, long bytes, Consumer<PermitGrant> reply) {
+        boolean accepted = execute(() -> {
+            if (ended) {
+                reply.accept(PermitGrant.DENIED);
+                return;
+            }
+            permits.add(reply);
+            send(Frame.newBuilder()
+                    .setPermitRequest(
+                            PermitRequest.newBuilder().setTarget(target).setBytes(bytes))
+                    .build());
+        });
+        if (!accepted) {
+            reply.accept(PermitGrant.DENIED);
+        }
+    }
+
+    private void permitReply(PermitReply reply) {
+        Consumer<PermitGrant> receiver = permits.poll();
+        if (receiver == null) {
+            environment().telemetry().count("late_permit_reply");
+            return;
+        }
+        receiver.accept(new PermitGrant(reply.getGranted(), Duration.ofMillis(Math.max(0, reply.getTermMillis()))));
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        List.copyOf(attempts.values()).forEach(InboundAttempt::flush);
+        ctx.fireChannelWritabilityChanged();
+    }
+
+    @Override
+    void closed() {
+        ended = true;
+        server.closed(this);
+        List<InboundAttempt> open = List.copyOf(attempts.values());
+        attempts.clear();
+        openAttempts = 0;
+        open.forEach(this::abandon);
+        permits.forEach(reply -> reply.accept(PermitGrant.DENIED));
+        permits.clear();
+    }
+
+    /**
+     * Cancels an idempotent attempt nobody waits for any more. A non-idempotent one runs to its end, without a window,
+     * so that its result can be kept.
+     */
+    private void abandon(InboundAttempt attempt) {
+        attempt.abandon();
+        StageDispatch dispatch = attempt.dispatch();
+        if (dispatch.idempotent()) {
+            handler.cancel(dispatch.attempt());
+        } else if (dispatch.streaming()) {
+            handler.grant(dispatch.attempt(), WireLimits.MAX_STREAM_RESULT_BYTES);
+        }
+    }
+}
--- /dev/null
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/Backoff.java
@@ -0,0 +1,30 @@
+package io.masticfold.wire;
+
+import java.time.Duration;
+import java.util.random.RandomGenerator;
+
+/** Computes the delays between tries of a dialer: exponential growth with full jitter up to a limit. */
+final class Backoff {
+
+    private static final Duration FIRST = Duration.ofMillis(100);
+    private static final Duration MAX = Duration.ofSeconds(2);
+    private static final int MAX_DOUBLINGS = 10;
+
+    private final RandomGenerator random;
+    private int failures;
+
+    Backoff(RandomGenerator random) {
+        this.random = random;
+    }
+
+    /** Returns the delay before the next try and takes note of one more failure. */
+    Duration next() {
+        long limit = Math.min(MAX.toMillis(), FIRST.toMillis() << Math.min(failures, MAX_DOUBLINGS));
+        failures++;
+        return Duration.ofMillis(1 + random.nextLong(limit));
+    }
+
+    void reset() {
+        failures = 0;
+    }
+}
--- /dev/null
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/ConfigDeltas.java
@@ -0,0 +1,115 @@
+package io.masticfold.wire;
+
+import io.masticfold.core.config.ConfigObject;
+import io.masticfold.core.config.ConfigSnapshot;
+import io.masticfold.core.config.ObjectKey;
+import io.masticfold.core.config.SpecCodec;
+import io.masticfold.core.error.ErrorKind;
+import io.masticfold.core.error.MasticfoldException;
+import io.masticfold.core.model.ConfigSpec;
+import io.masticfold.core.model.ObjectKind;
+import io.masticfold.wire.proto.ConfigDelta;
+import io.masticfold.wire.proto.ConfigEntry;
+import io.masticfold.wire.proto.Frame;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Encodes and decodes configuration deltas. The last delta is kept, because a change goes to many links with the same
+ * base revision. Safe for use by several threads.
+ */
+final class ConfigDeltas {
+
+    /**
+     * Keeps the frames of one delta.
+     *
+     * @param snapshot snapshot the delta leads to
+     * @param since revision the delta starts after
+     * @param frames the frames
+     */
+    private record Encoded(ConfigSnapshot snapshot, long since, List<Frame> frames) {}
+
+    private final SpecCodec codec;
+    private final AtomicReference<@Nullable Encoded> last = new AtomicReference<>();
+
+    ConfigDeltas(SpecCodec codec) {
+        this.codec = codec;
+    }
+
+    /**
+     * Encodes the objects of a snapshot that are newer than a revision, in the order of their versions, so that a delta
+     * cut off by a lost link leaves no gap below the last object that arrived.
+     *
+     * @param snapshot the snapshot
+     * @param since revision the peer has, 0 for everything
+     */
+    List<Frame> since(ConfigSnapshot snapshot, long since) {
+        Encoded known = last.get();
+        if (known != null && known.snapshot() == snapshot && known.since() == since) {
+            return known.frames();
+        }
+        List<Frame> frames = encode(snapshot, since);
+        last.set(new Encoded(snapshot, since, frames));
+        return frames;
+    }
+
+    private List<Frame> encode(ConfigSnapshot snapshot, long since) {
+        List<ConfigEntry> entries = snapshot.objects().stream()
+                .filter(object -> object.version() > since)
+                .sorted(Comparator.comparingLong(ConfigObject::version))
+                .map(this::entry)
+                .toList();
+        List<Frame> frames = new ArrayList<>();
+        ConfigDelta.Builder delta = ConfigDelta.newBuilder();
+        int bytes = 0;
+        for (ConfigEntry entry : entries) {
+            int size = entry.getSerializedSize();
+            if (delta.getObjectsCount() > 0 && bytes + size > WireLimits.DELTA_FRAME_BYTES) {
+                frames.add(frame(delta.setMore(true)));
+                delta = ConfigDelta.newBuilder();
+                bytes = 0;
+            }
+            delta.addObjects(entry);
+            bytes += size;
+        }
+        frames.add(frame(delta));
+        return List.copyOf(frames);
+    }
+
+    private static Frame frame(ConfigDelta.Builder delta) {
+        return Frame.newBuilder().setConfigDelta(delta).build();
+    }
+
+    private ConfigEntry entry(ConfigObject object) {
+        ConfigSpec spec = object.spec();
+        return ConfigEntry.newBuilder()
+                .setKind(object.key().kind().code())
+                .setName(object.key().name())
+                .setVersion(object.version())
+                .setChangeId(object.changeId())
+                .setDeleted(spec == null)
+                .setSpec(spec == null ? "" : codec.encode(spec))
+                .build();
+    }
+
+    /**
+     * Decodes one object.
+     *
+     * @throws MasticfoldException with kind {@code MALFORMED_REQUEST} if the object is not valid
+     */
+    ConfigObject object(ConfigEntry entry) throws MasticfoldException {
+        ObjectKind kind = ObjectKind.ofCode(entry.getKind())
+                .orElseThrow(() -> new MasticfoldException(
+                        ErrorKind.MALFORMED_REQUEST, "unknown object kind '" + entry.getKind() + "'"));
+        ConfigSpec spec = entry.getDeleted() ? null : codec.decode(kind, entry.getName(), entry.getSpec());
+        try {
+            return new ConfigObject(
+                    new ObjectKey(kind, entry.getName()), entry.getVersion(), entry.getChangeId(), spec);
+        } catch (IllegalArgumentException e) {
+            throw new MasticfoldException(ErrorKind.MALFORMED_REQUEST, e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/ConnectionFaults.java
@@ -0,0 +1,39 @@
+package io.masticfold.wire;
+
+import io.masticfold.core.telemetry.Telemetry;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderException;
+import java.io.IOException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Reports and ends a connection on which something went wrong; the process lives on. An illegal argument stands for a
+ * number of a frame that is out of range.
+ */
+final class ConnectionFaults {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(ConnectionFaults.class);
+
+    private ConnectionFaults() {}
+
+    static void close(ChannelHandlerContext ctx, Telemetry telemetry, Throwable cause) {
+        Object remote = ctx.channel().remoteAddress();
+        if (cause instanceof DecoderException || cause instanceof IllegalArgumentException) {
+            violation(ctx, telemetry, String.valueOf(cause.getMessage()));
+        } else if (cause instanceof IOException) {
+            telemetry.count("connection_failed");
+            WireEvent.CONNECTION_FAILED.log(LOGGER, remote, String.valueOf(cause.getMessage()));
+        } else {
+            telemetry.count("connection_handler_failed");
+            WireEvent.HANDLER_FAILED.log(LOGGER, remote, cause);
+        }
+        ctx.close();
+    }
+
+    static void violation(ChannelHandlerContext ctx, Telemetry telemetry, String reason) {
+        telemetry.count("frame_rejected");
+        WireEvent.FRAME_REJECTED.log(LOGGER, ctx.channel().remoteAddress(), reason);
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/Dialer.java
@@ -0,0 +1,82 @@
+package io.masticfold.wire;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import java.net.SocketAddress;
+import java.time.Duration;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Keeps one connection to an address open: dials again after each loss or failure until stopped. */
+final class Dialer {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(Dialer.class);
+
+    private final Bootstrap bootstrap;
+    private final EventLoop loop;
+    private final SocketAddress address;
+    private final Backoff backoff;
+    private volatile boolean stopped;
+
+    /**
+     * Creates a dialer.
+     *
+     * @param bootstrap bootstrap that initializes the channel; used with the loop only
+     * @param loop loop of the link
+     * @param address address of the agent
+     * @param backoff delays; confined to the loop
+     */
+    Dialer(Bootstrap bootstrap, EventLoop loop, SocketAddress address, Backoff backoff) {
+        this.bootstrap = bootstrap;
+        this.loop = loop;
+        this.address = address;
+        this.backoff = backoff;
+    }
+
+    void dial() {
+        if (!stopped) {
+            bootstrap.connect(address).addListener(future -> connected((ChannelFuture) future));
+        }
+    }
+
+    private void connected(ChannelFuture future) {
+        Channel channel = future.channel();
+        if (!future.isSuccess()) {
+            retry(String.valueOf(future.cause()));
+        } else if (stopped) {
+            channel.close();
+        } else {
+            channel.closeFuture().addListener(_closed -> retry("connection closed"));
+        }
+    }
+
+    /** Takes note that a handshake has succeeded; a peer that closes before it does not reset the delays. */
+    void connected() {
+        backoff.reset();
+    }
+
+    private void retry(String reason) {
+        if (stopped) {
+            return;
+        }
+        Duration delay = backoff.next();
+        WireEvent.DIAL_FAILED.log(LOGGER, address, delay.toMillis(), reason);
+        try {
+            loop.schedule(this::dial, delay.toNanos(), TimeUnit.NANOSECONDS);
+        } catch (RejectedExecutionException _e) {
+            stopped = true;
+        }
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    boolean stopped() {
+        return stopped;
+    }
+}
--- /dev/null
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/EntryConnection.java
@@ -0,0 +1,298 @@
+package io.masticfold.wire;
+
+import io.masticfold.core.attempt.AttemptId;
+import io.masticfold.core.attempt.Incarnation;
+import io.masticfold.core.attempt.Payload;
+import io.masticfold.core.attempt.SealOutcome;
+import io.masticfold.core.attempt.StageCompleted;
+import io.masticfold.core.attempt.StageDispatch;
+import io.masticfold.core.attempt.StageFailed;
+import io.masticfold.core.attempt.StageOutcome;
+import io.masticfold.core.attempt.StageRefused;
+import io.masticfold.core.error.ErrorKind;
+import io.masticfold.core.error.Ran;
+import io.masticfold.core.link.StageListener;
+import io.masticfold.wire.proto.Attempt;
+import io.masticfold.wire.proto.Chunk;
+import io.masticfold.wire.proto.End;
+import io.masticfold.wire.proto.Frame;
+import io.masticfold.wire.proto.Heartbeat;
+import io.masticfold.wire.proto.PermitReply;
+import io.masticfold.wire.proto.PermitRequest;
+import io.masticfold.wire.proto.SealReply;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Holds the entry's end of an authenticated connection with an agent. Confined to its loop unless stated. */
+final class EntryConnection extends AbstractConnection {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(EntryConnection.class);
+
+    private final TargetLink link;
+    private final PermitHandler permits;
+    private final Map<AttemptId, OpenAttempt> attempts = new HashMap<>();
+    private final Map<Long, Consumer<SealOutcome>> seals = new HashMap<>();
+    private volatile int openAttempts;
+    private long sealCounter;
+    private boolean ended;
+    private boolean retired;
+
+    EntryConnection(
+            WireEnvironment environment, ConfigDeltas deltas, Peer peer, TargetLink link, PermitHandler permits) {
+        super(environment, deltas, peer, heartbeat -> link.reported(WireMessages.load(heartbeat.getLoad())));
+        this.link = link;
+        this.permits = permits;
+    }
+
+    @Override
+    void opened() {
+        link.connected(this);
+    }
+
+    @Override
+    int openAttempts() {
+        return openAttempts;
+    }
+
+    /** Returns a heartbeat without a load: an entry has no target of its own. */
+    @Override
+    Heartbeat.Builder report() {
+        return Heartbeat.newBuilder();
+    }
+
+    /** Starts an attempt; safe to call from any thread. */
+    void dispatch(StageDispatch dispatch, StageListener listener) {
+        if (!execute(() -> start(dispatch, listener))) {
+            listener.outcome(refused(ErrorKind.TARGET_UNREACHABLE), link.load());
+        }
+    }
+
+    private void start(StageDispatch dispatch, StageListener listener) {
+        OpenAttempt attempt = new OpenAttempt(dispatch, listener);
+        if (ended) {
+            notify(attempt, refused(ErrorKind.TARGET_UNREACHABLE));
+            return;
+        }
+        if (attempts.containsKey(dispatch.attempt())) {
+            notify(attempt, new StageFailed(ErrorKind.DUPLICATE_ATTEMPT, Ran.UNKNOWN));
+            return;
+        }
+        if (!context().channel().isWritable() || attempts.size() >= WireLimits.MAX_OPEN_ATTEMPTS) {
+            environment().telemetry().count("link_backlog");
+            notify(attempt, refused(ErrorKind.OVERLOADED));
+            return;
+        }
+        if (dispatch.body().size() > WireLimits.MAX_FRAME_BYTES - WireLimits.FRAME_OVERHEAD_BYTES) {
+            notify(attempt, refused(ErrorKind.BODY_TOO_LARGE));
+            return;
+        }
+        attempts.put(dispatch.attempt(), attempt);
+        openAttempts = attempts.size();
+        write(attempt);
+    }
+
+    /**
+     * Writes the dispatch. A write that fails left the frame incomplete at best, and an agent ignores an incomplete
+     * frame, so the attempt has not run.
+     */
+    private void write(OpenAttempt attempt) {
+        StageDispatch dispatch = attempt.dispatch();
+        long revision = environment().config().snapshot().revision();
+        context().writeAndFlush(WireMessages.dispatch(dispatch, revision)).addListener(future -> {
+            if (future.isSuccess()) {
+                attempt.markWritten();
+            } else {
+                finish(dispatch.attempt(), refused(ErrorKind.TARGET_UNREACHABLE));
+            }
+        });
+    }
+
+    private static StageRefused refused(ErrorKind kind) {
+        return new StageRefused(kind, Duration.ZERO);
+    }
+
+    /** Cancels an attempt; safe to call from any thread. */
+    void cancel(AttemptId attempt) {
+        execute(() -> {
+            if (attempts.containsKey(attempt)) {
+                send(WireMessages.cancel(attempt));
+            }
+        });
+    }
+
+    /** Lets the agent send more of a streaming result; safe to call from any thread. */
+    void grant(AttemptId attempt, int bytes) {
+        execute(() -> {
+            if (attempts.containsKey(attempt)) {
+                send(WireMessages.windowUpdate(attempt, bytes));
+            }
+        });
+    }
+
+    /** Asks what became of an attempt; safe to call from any thread. */
+    void seal(AttemptId attempt, Incarnation agent, Consumer<SealOutcome> reply) {
+        boolean accepted = execute(() -> {
+            if (ended || seals.size() >= WireLimits.MAX_OPEN_ATTEMPTS) {
+                reply.accept(SealOutcome.of(SealOutcome.State.UNKNOWN));
+                return;
+            }
+            long id = ++sealCounter;
+            seals.put(id, reply);
+            send(WireMessages.seal(id, attempt, agent));
+        });
+        if (!accepted) {
+            reply.accept(SealOutcome.of(SealOutcome.State.UNKNOWN));
+        }
+    }
+
+    /** Closes the connection as soon as no attempt is open; safe to call from any thread. */
+    void retire() {
+        execute(() -> {
+            retired = true;
+            closeIfRetired();
+        });
+    }
+
+    private void closeIfRetired() {
+        if (retired && attempts.isEmpty() && seals.isEmpty()) {
+            close();
+        }
+    }
+
+    @Override
+    void receive(Frame frame) {
+        switch (frame.getMessageCase()) {
+            case CHUNK -> chunk(frame.getChunk());
+            case END -> end(frame.getEnd());
+            case REFUSED -> {
+                link.reported(WireMessages.load(frame.getRefused().getLoad()));
+                finish(frame.getRefused().getAttempt(), WireMessages.refused(frame.getRefused()));
+            }
+            case FAILED -> {
+                link.reported(WireMessages.load(frame.getFailed().getLoad()));
+                finish(frame.getFailed().getAttempt(), WireMessages.failed(frame.getFailed()));
+            }
+            case SEAL_REPLY -> sealReply(frame.getSealReply());
+            case PERMIT_REQUEST -> permit(frame.getPermitRequest());
+            default ->
+                ConnectionFaults.violation(
+                        context(), environment().telemetry(), "unexpected frame " + frame.getMessageCase());
+        }
+    }
+
+    private void chunk(Chunk chunk) {
+        OpenAttempt attempt = attempts.get(WireMessages.attempt(chunk.getAttempt()));
+        if (attempt == null || !attempt.dispatch().streaming()) {
+            environment().telemetry().count("late_chunk");
+            return;
+        }
+        Payload bytes = WireMessages.payload(chunk.getBytes());
+        if (chunk.getOffset() < 0 || !attempt.assembler().add(chunk.getOffset(), bytes)) {
+            environment().telemetry().count("result_too_large");
+            AttemptId id = attempt.dispatch().attempt();
+            WireEvent.RESULT_TOO_LARGE.log(LOGGER, id, chunk.getOffset() + bytes.size());
+            send(WireMessages.cancel(id));
+            finish(id, new StageFailed(ErrorKind.TARGET_FAILED, Ran.YES));
+            return;
+        }
+        try {
+            attempt.listener().chunk(chunk.getOffset(), bytes);
+        } catch (RuntimeException e) {
+            listenerFailed(attempt, e);
+        }
+    }
+
+    private void end(End end) {
+        link.reported(WireMessages.load(end.getLoad()));
+        OpenAttempt attempt = attempts.get(WireMessages.attempt(end.getAttempt()));
+        if (attempt == null) {
+            late();
+            return;
+        }
+        Optional<Payload> result = attempt.dispatch().streaming()
+                ? attempt.assembler().result(end.getTotalBytes())
+                : Optional.of(WireMessages.payload(end.getResult()));
+        if (result.isEmpty()) {
+            environment().telemetry().count("incomplete_result");
+        }
+        finish(
+                attempt.dispatch().attempt(),
+                result.<StageOutcome>map(whole -> new StageCompleted(whole, end.getServiceMicros()))
+                        .orElseGet(() -> new StageFailed(ErrorKind.LINK_LOST, Ran.YES)));
+    }
+
+    private void finish(Attempt attempt, StageOutcome outcome) {
+        finish(WireMessages.attempt(attempt), outcome);
+    }
+
+    private void finish(AttemptId id, StageOutcome outcome) {
+        OpenAttempt attempt = attempts.remove(id);
+        if (attempt == null) {
+            late();
+            return;
+        }
+        openAttempts = attempts.size();
+        notify(attempt, outcome);
+        closeIfRetired();
+    }
+
+    private void late() {
+        environment().telemetry().count("late_outcome");
+    }
+
+    private void notify(OpenAttempt attempt, StageOutcome outcome) {
+        try {
+            attempt.listener().outcome(outcome, link.load());
+        } catch (RuntimeException e) {
+            listenerFailed(attempt, e);
+        }
+    }
+
+    private void listenerFailed(OpenAttempt attempt, RuntimeException cause) {
+        environment().telemetry().count("listener_failed");
+        WireEvent.LISTENER_FAILED.log(LOGGER, attempt.dispatch().attempt(), cause);
+    }
+
+    private void sealReply(SealReply reply) {
+        Consumer<SealOutcome> receiver = seals.remove(reply.getSealId());
+        if (receiver == null) {
+            environment().telemetry().count("late_seal_reply");
+            return;
+        }
+        receiver.accept(WireMessages.sealOutcome(reply));
+        closeIfRetired();
+    }
+
+    private void permit(PermitRequest request) {
+        permits.request(
+                request.getTarget(),
+                request.getBytes(),
+                grant -> execute(() -> send(Frame.newBuilder()
+                        .setPermitReply(PermitReply.newBuilder()
+                                .setGranted(grant.granted())
+                                .setTermMillis(grant.term().toMillis()))
+                        .build())));
+    }
+
+    @Override
+    void closed() {
+        ended = true;
+        link.disconnected(this);
+        for (OpenAttempt attempt : List.copyOf(attempts.values())) {
+            finish(
+                    attempt.dispatch().attempt(),
+                    attempt.written()
+                            ? new StageFailed(ErrorKind.LINK_LOST, Ran.UNKNOWN)
+                            : refused(ErrorKind.TARGET_UNREACHABLE));
+        }
+        List<Consumer<SealOutcome>> open = List.copyOf(seals.values());
+        seals.clear();
+        open.forEach(reply -> reply.accept(SealOutcome.of(SealOutcome.State.UNKNOWN)));
+    }
+}
--- /dev/null
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/FrameDecoder.java
@@ -0,0 +1,47 @@
+package io.masticfold.wire;
+
+import io.masticfold.wire.proto.Frame;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import io.netty.handler.codec.CorruptedFrameException;
+import java.util.List;
+
+/**
+ * Decodes frames that follow a length of four bytes. The limit is small until the peer is authenticated. Bytes after a
+ * broken frame, or after the channel was closed on this side, are dropped.
+ */
+final class FrameDecoder extends ByteToMessageDecoder {
+
+    private int limit = WireLimits.MAX_HANDSHAKE_FRAME_BYTES;
+    private boolean broken;
+
+    void allowLargeFrames() {
+        limit = WireLimits.MAX_FRAME_BYTES;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+        if (broken || !ctx.channel().isActive()) {
+            in.skipBytes(in.readableBytes());
+            return;
+        }
+        if (in.readableBytes() < Integer.BYTES) {
+            return;
+        }
+        int length = in.getInt(in.readerIndex());
+        if (length <= 0 || length > limit) {
+            broken = true;
+            throw new CorruptedFrameException("frame length " + length + " is not within 1 to " + limit);
+        }
+        if (in.readableBytes() - Integer.BYTES < length) {
+            return;
+        }
+        int start = in.readerIndex() + Integer.BYTES;
+        broken = true;
+        Frame frame = Frame.parseFrom(in.nioBuffer(start, length));
+        broken = false;
+        in.skipBytes(Integer.BYTES + length);
+        out.add(frame);
+    }
+}
--- /dev/null
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/HandshakeHandler.java
@@ -0,0 +1,189 @@
+package io.masticfold.wire;
+
+import com.google.protobuf.ByteString;
+import io.masticfold.core.time.Cancellable;
+import io.masticfold.wire.proto.Frame;
+import io.masticfold.wire.proto.Hello;
+import io.masticfold.wire.proto.Proof;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.security.SecureRandom;
+import java.util.Optional;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Authenticates both sides of a new connection. The entry speaks first, and the agent proves itself only to an entry
+ * that has proved itself, so that a stranger learns no proof. Any unexpected frame closes the connection.
+ */
+final class HandshakeHandler extends SimpleChannelInboundHandler<Frame> {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(HandshakeHandler.class);
+    private static final SecureRandom RANDOM = new SecureRandom();
+
+    private final WireEnvironment environment;
+    private final ConnectionFactory factory;
+    private final Hello own;
+    private @Nullable Hello peer;
+    private long proofSentNanos;
+    private Cancellable timeout = Cancellable.NONE;
+
+    HandshakeHandler(WireEnvironment environment, ConnectionFactory factory) {
+        super(Frame.class);
+        this.environment = environment;
+        this.factory = factory;
+        this.own = hello(environment.identity());
+    }
+
+    private static Hello hello(WireIdentity identity) {
+        byte[] nonce = new byte[WireLimits.NONCE_BYTES];
+        RANDOM.nextBytes(nonce);
+        return Hello.newBuilder()
+                .setProtocol(WireLimits.PROTOCOL)
+                .setProcess(identity.process())
+                .setRole(identity.role().code())
+                .setZone(identity.zone())
+                .setIncarnation(WireMessages.incarnation(identity.incarnation()))
+                .setNonce(ByteString.copyFrom(nonce))
+                .build();
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        long millis = WireLimits.HANDSHAKE_TIMEOUT.toMillis();
+        Future<?> scheduled = ctx.executor().schedule(() -> timedOut(ctx, millis), millis, TimeUnit.MILLISECONDS);
+        timeout = () -> scheduled.cancel(false);
+        if (role() == PeerRole.ENTRY) {
+            sendHello(ctx);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        timeout.cancel();
+        ctx.fireChannelInactive();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, Frame frame) {
+        switch (frame.getMessageCase()) {
+            case HELLO -> hello(ctx, frame.getHello());
+            case PROOF -> proof(ctx, frame.getProof());
+            default -> reject(ctx, "unexpected frame " + frame.getMessageCase());
+        }
+    }
+
+    private void hello(ChannelHandlerContext ctx, Hello hello) {
+        Optional<String> fault = fault(hello);
+        if (fault.isPresent()) {
+            reject(ctx, fault.get());
+            return;
+        }
+        peer = hello;
+        if (role() == PeerRole.AGENT) {
+            sendHello(ctx);
+        } else {
+            sendProof(ctx);
+        }
+    }
+
+    private Optional<String> fault(Hello hello) {
+        if (peer != null) {
+            return Optional.of("second hello");
+        }
+        if (hello.getProtocol() != WireLimits.PROTOCOL) {
+            return Optional.of("protocol " + hello.getProtocol());
+        }
+        if (PeerRole.ofCode(hello.getRole()).filter(role().opposite()::equals).isEmpty()) {
+            return Optional.of("role '" + hello.getRole() + "'");
+        }
+        if (hello.getNonce().size() != WireLimits.NONCE_BYTES
+                || hello.getNonce().equals(own.getNonce())) {
+            return Optional.of("nonce of " + hello.getNonce().size() + " bytes");
+        }
+        if (hello.getProcess().isEmpty() || hello.getProcess().length() > WireLimits.MAX_NAME_CHARS) {
+            return Optional.of("process name of " + hello.getProcess().length() + " characters");
+        }
+        return Optional.empty();
+    }
+
+    private void proof(ChannelHandlerContext ctx, Proof proof) {
+        Hello other = peer;
+        if (other == null) {
+            reject(ctx, "proof before hello");
+            return;
+        }
+        byte[] hmac = proof.getHmac().toByteArray();
+        PeerRole prover = role().opposite();
+        if (!HandshakeProof.valid(hmac, environment.secret(), prover, entry(other), agent(other))) {
+            reject(ctx, "proof of '" + other.getProcess() + "' is not valid");
+            return;
+        }
+        if (role() == PeerRole.AGENT) {
+            sendProof(ctx);
+        }
+        complete(ctx, other);
+    }
+
+    private void complete(ChannelHandlerContext ctx, Hello other) {
+        timeout.cancel();
+        long roundTrip = role() == PeerRole.ENTRY ? environment.time().nanoTime() - proofSentNanos : 0;
+        WireIdentity identity = new WireIdentity(
+                other.getProcess(),
+                other.getZone(),
+                role().opposite(),
+                WireMessages.incarnation(other.getIncarnation()));
+        ctx.pipeline().get(FrameDecoder.class).allowLargeFrames();
+        ctx.pipeline().replace(this, "connection", factory.create(new Peer(identity, roundTrip)));
+    }
+
+    private void sendHello(ChannelHandlerContext ctx) {
+        ctx.writeAndFlush(Frame.newBuilder().setHello(own).build(), ctx.voidPromise());
+    }
+
+    private void sendProof(ChannelHandlerContext ctx) {
+        Hello other = peer;
+        if (other == null) {
+            return;
+        }
+        byte[] hmac = HandshakeProof.compute(environment.secret(), role(), entry(other), agent(other));
+        proofSentNanos = environment.time().nanoTime();
+        ctx.writeAndFlush(
+                Frame.newBuilder()
+                        .setProof(Proof.newBuilder().setHmac(ByteString.copyFrom(hmac)))
+                        .build(),
+                ctx.voidPromise());
+    }
+
+    private Hello entry(Hello other) {
+        return role() == PeerRole.ENTRY ? own : other;
+    }
+
+    private Hello agent(Hello other) {
+        return role() == PeerRole.AGENT ? own : other;
+    }
+
+    private PeerRole role() {
+        return environment.identity().role();
+    }
+
+    private void timedOut(ChannelHandlerContext ctx, long millis) {
+        environment.telemetry().count("handshake_timed_out");
+        WireEvent.HANDSHAKE_TIMED_OUT.log(LOGGER, ctx.channel().remoteAddress(), millis);
+        ctx.close();
+    }
+
+    private void reject(ChannelHandlerContext ctx, String reason) {
+        environment.telemetry().count("handshake_rejected");
+        WireEvent.HANDSHAKE_REJECTED.log(LOGGER, ctx.channel().remoteAddress(), reason);
+        ctx.close();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ConnectionFaults.close(ctx, environment.telemetry(), cause);
+    }
+}
--- /dev/null
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/InboundAttempt.java
@@ -0,0 +1,147 @@
+package io.masticfold.wire;
+
+import com.google.protobuf.ByteString;
+import io.masticfold.core.attempt.AttemptId;
+import io.masticfold.core.attempt.Payload;
+import io.masticfold.core.attempt.StageCompleted;
+import io.masticfold.core.attempt.StageDispatch;
+import io.masticfold.core.attempt.StageFailed;
+import io.masticfold.core.attempt.StageOutcome;
+import io.masticfold.core.attempt.TargetLoad;
+import io.masticfold.core.error.ErrorKind;
+import io.masticfold.core.error.Ran;
+import io.masticfold.core.link.StageListener;
+import io.masticfold.wire.proto.Frame;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Sends what the agent's handler reports for one attempt. Chunks wait in a bounded buffer while the window of the
+ * attempt is used up or the connection is not writable. The listener methods may be called on any thread; the rest is
+ * confined to the loop of the connection.
+ */
+final class InboundAttempt implements StageListener {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(InboundAttempt.class);
+    private static final int MAX_RESULT_BYTES = WireLimits.MAX_FRAME_BYTES - WireLimits.FRAME_OVERHEAD_BYTES;
+
+    /** A target client stops at the end of the window, but the read in progress may pass it. */
+    private static final int MAX_WAITING_BYTES = 2 * WireLimits.STREAM_WINDOW_BYTES;
+
+    /**
+     * Holds bytes that wait to be sent.
+     *
+     * @param offset offset of the first byte within the result
+     * @param bytes the bytes
+     */
+    private record Part(long offset, ByteString bytes) {}
+
+    private final AgentConnection connection;
+    private final StageDispatch dispatch;
+    private final Deque<Part> waiting = new ArrayDeque<>();
+    private long window = WireLimits.STREAM_WINDOW_BYTES;
+    private int waitingBytes;
+    private @Nullable Frame end;
+    private boolean ended;
+
+    InboundAttempt(AgentConnection connection, StageDispatch dispatch) {
+        this.connection = connection;
+        this.dispatch = dispatch;
+    }
+
+    StageDispatch dispatch() {
+        return dispatch;
+    }
+
+    @Override
+    public void chunk(long offset, Payload bytes) {
+        connection.execute(() -> add(offset, bytes));
+    }
+
+    @Override
+    public void outcome(StageOutcome outcome, TargetLoad load) {
+        connection.execute(() -> finish(outcome, load));
+    }
+
+    private void add(long offset, Payload bytes) {
+        if (ended || end != null) {
+            return;
+        }
+        waiting.add(new Part(offset, WireMessages.bytes(bytes)));
+        waitingBytes += bytes.size();
+        flush();
+        if (waitingBytes > MAX_WAITING_BYTES) {
+            exceeded();
+        }
+    }
+
+    private void exceeded() {
+        connection.environment().telemetry().count("stream_window_exceeded");
+        AttemptId attempt = dispatch.attempt();
+        WireEvent.WINDOW_EXCEEDED.log(LOGGER, attempt, waitingBytes);
+        waiting.clear();
+        waitingBytes = 0;
+        finish(new StageFailed(ErrorKind.TARGET_FAILED, Ran.YES), connection.load());
+        connection.cancelled(attempt);
+    }
+
+    private void finish(StageOutcome outcome, TargetLoad load) {
+        if (ended || end != null) {
+            return;
+        }
+        end = WireMessages.outcome(dispatch.attempt(), dispatch.streaming(), bounded(outcome), load);
+        flush();
+    }
+
+    private StageOutcome bounded(StageOutcome outcome) {
+        if (!dispatch.streaming()
+                && outcome instanceof StageCompleted completed
+                && completed.result().size() > MAX_RESULT_BYTES) {
+            connection.environment().telemetry().count("result_too_large");
+            WireEvent.RESULT_TOO_LARGE.log(
+                    LOGGER, dispatch.attempt(), completed.result().size());
+            return new StageFailed(ErrorKind.TARGET_FAILED, Ran.YES);
+        }
+        return outcome;
+    }
+
+    /** Adds to the window and sends what fits now. */
+    void grant(int bytes) {
+        window += bytes;
+        flush();
+    }
+
+    /** Sends what the window and the connection allow, then the outcome. */
+    void flush() {
+        while (!waiting.isEmpty() && window > 0 && connection.writable()) {
+            sendPart(waiting.remove());
+        }
+        Frame outcome = end;
+        if (waiting.isEmpty() && outcome != null && !ended) {
+            ended = true;
+            connection.ended(dispatch.attempt());
+            connection.send(outcome);
+        }
+    }
+
+    private void sendPart(Part part) {
+        int size = (int) Math.min(Math.min(part.bytes().size(), window), WireLimits.MAX_CHUNK_BYTES);
+        connection.send(WireMessages.chunk(
+                dispatch.attempt(), part.offset(), part.bytes().substring(0, size)));
+        window -= size;
+        waitingBytes -= size;
+        if (size < part.bytes().size()) {
+            waiting.addFirst(new Part(part.offset() + size, part.bytes().substring(size)));
+        }
+    }
+
+    /** Drops everything that still waits, because the link is lost. */
+    void abandon() {
+        ended = true;
+        waiting.clear();
+        waitingBytes = 0;
+    }
+}
--- /dev/null
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/NumericAddress.java
@@ -0,0 +1,26 @@
+package io.masticfold.wire;
+
+import io.netty.util.NetUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+
+/** Parses numeric addresses; no name is ever looked up. */
+public final class NumericAddress {
+
+    private NumericAddress() {}
+
+    /**
+     * Parses an address.
+     *
+     * @param text an address of the form {@code ip:port}, an IPv6 number in brackets
+     * @throws IllegalArgumentException if the text has another form
+     */
+    public static InetSocketAddress parse(String text) {
+        int colon = text.lastIndexOf(':');
+        InetAddress ip = colon <= 0 ? null : NetUtil.createInetAddressFromIpAddressString(text.substring(0, colon));
+        if (ip == null) {
+            throw new IllegalArgumentException("not a numeric address ip:port: '" + text + "'");
+        }
+        return new InetSocketAddress(ip, Integer.parseInt(text.substring(colon + 1)));
+    }
+}
--- /dev/null
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/OpenAttempt.java
@@ -0,0 +1,40 @@
+package io.masticfold.wire;
+
+import io.masticfold.core.attempt.StageDispatch;
+import io.masticfold.core.link.StageListener;
+
+/** Tracks an attempt of the entry that has no outcome yet. Confined to the loop of the connection. */
+final class OpenAttempt {
+
+    private final StageDispatch dispatch;
+    private final StageListener listener;
+    private final ResultAssembler assembler;
+    private boolean written;
+
+    OpenAttempt(StageDispatch dispatch, StageListener listener) {
+        this.dispatch = dispatch;
+        this.listener = listener;
+        this.assembler = new ResultAssembler(dispatch.resumeOffset());
+    }
+
+    StageDispatch dispatch() {
+        return dispatch;
+    }
+
+    StageListener listener() {
+        return listener;
+    }
+
+    ResultAssembler assembler() {
+        return assembler;
+    }
+
+    /** Returns whether the last byte of the dispatch was handed to the socket. */
+    boolean written() {
+        return written;
+    }
+
+    void markWritten() {
+        written = true;
+    }
+}
--- /dev/null
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/SharedSecret.java
@@ -0,0 +1,47 @@
+package io.masticfold.wire;
+
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.util.Arrays;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/** Holds the secret shared by the processes of a deployment. The text form never shows it. */
+public final class SharedSecret {
+
+    private static final String ALGORITHM = "HmacSHA256";
+
+    private final byte[] bytes;
+
+    private SharedSecret(byte[] bytes) {
+        if (bytes.length == 0) {
+            throw new IllegalArgumentException("the shared secret must not be empty");
+        }
+        this.bytes = bytes;
+    }
+
+    /** Creates a secret from bytes. */
+    public static SharedSecret of(byte[] bytes) {
+        return new SharedSecret(Arrays.copyOf(bytes, bytes.length));
+    }
+
+    /** Creates a secret from the UTF-8 bytes of a text. */
+    public static SharedSecret ofUtf8(String text) {
+        return new SharedSecret(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    Mac hmac() {
+        try {
+            Mac mac = Mac.getInstance(ALGORITHM);
+            mac.init(new SecretKeySpec(bytes, ALGORITHM));
+            return mac;
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException("every Java platform supports " + ALGORITHM, e);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return "SharedSecret[hidden]";
+    }
+}
--- /dev/null
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/TargetLink.java
@@ -0,0 +1,150 @@
+package io.masticfold.wire;
+
+import io.masticfold.core.attempt.AttemptId;
+import io.masticfold.core.attempt.Incarnation;
+import io.masticfold.core.attempt.SealOutcome;
+import io.masticfold.core.attempt.StageDispatch;
+import io.masticfold.core.attempt.StageRefused;
+import io.masticfold.core.attempt.TargetLoad;
+import io.masticfold.core.error.ErrorKind;
+import io.masticfold.core.link.AgentLink;
+import io.masticfold.core.link.StageListener;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+
+/** Represents the agent of one target over all connections with it. */
+final class TargetLink implements AgentLink {
+
+    private final String target;
+    private final String address;
+    private final Dialer dialer;
+    private final AtomicReference<@Nullable EntryConnection> connection = new AtomicReference<>();
+    private volatile @Nullable Peer peer;
+    private volatile TargetLoad load = TargetLoad.UNKNOWN;
+
+    TargetLink(String target, String address, DialerFactory dialers) {
+        this.target = target;
+        this.address = address;
+        this.dialer = dialers.create(this);
+    }
+
+    /** Returns the address of the agent, {@code ip:port}. */
+    String address() {
+        return address;
+    }
+
+    void start() {
+        dialer.dial();
+    }
+
+    /** Stops dialing and closes the connection as soon as no attempt is open. */
+    void retire() {
+        dialer.stop();
+        EntryConnection current = connection.get();
+        if (current != null) {
+            current.retire();
+        }
+    }
+
+    /** Stops dialing and closes the connection at once. */
+    void stop() {
+        dialer.stop();
+        EntryConnection current = connection.get();
+        if (current != null) {
+            current.close();
+        }
+    }
+
+    void connected(EntryConnection opened) {
+        peer = opened.peer();
+        load = TargetLoad.UNKNOWN;
+        connection.set(opened);
+        dialer.connected();
+        if (dialer.stopped()) {
+            opened.retire();
+        }
+    }
+
+    void disconnected(EntryConnection lost) {
+        connection.compareAndSet(lost, null);
+    }
+
+    void reported(TargetLoad reported) {
+        load = reported;
+    }
+
+    /** Pushes a change of the configuration. */
+    void configChanged() {
+        EntryConnection current = connection.get();
+        if (current != null) {
+            current.configChanged();
+        }
+    }
+
+    @Override
+    public String target() {
+        return target;
+    }
+
+    @Override
+    public boolean usable() {
+        EntryConnection current = connection.get();
+        return current != null && current.alive() && !current.peerLeaving();
+    }
+
+    @Override
+    public @Nullable Incarnation agentIncarnation() {
+        Peer known = peer;
+        return known == null ? null : known.identity().incarnation();
+    }
+
+    @Override
+    public TargetLoad load() {
+        return load;
+    }
+
+    @Override
+    public void dispatch(StageDispatch dispatch, StageListener listener) {
+        EntryConnection current = connection.get();
+        if (current == null || !current.alive()) {
+            listener.outcome(new StageRefused(ErrorKind.TARGET_UNREACHABLE, Duration.ZERO), load);
+            return;
+        }
+        current.dispatch(dispatch, listener);
+    }
+
+    @Override
+    public void cancel(AttemptId attempt) {
+        EntryConnection current = connection.get();
+        if (current != null) {
+            current.cancel(attempt);
+        }
+    }
+
+    @Override
+    public void grant(AttemptId attempt, int bytes) {
+        EntryConnection current = connection.get();
+        if (current != null) {
+            current.grant(attempt, bytes);
+        }
+    }
+
+    @Override
+    public void seal(AttemptId attempt, Incarnation agent, Consumer<SealOutcome> reply) {
+        EntryConnection current = connection.get();
+        if (current == null || !current.alive()) {
+            reply.accept(SealOutcome.of(SealOutcome.State.UNKNOWN));
+            return;
+        }
+        current.seal(attempt, agent, reply);
+    }
+
+    LinkStatus status() {
+        EntryConnection current = connection.get();
+        return current == null
+                ? new LinkStatus(target, false, false, agentIncarnation(), 0, 0, 0, 0)
+                : current.status(target);
+    }
+}
--- /dev/null
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/WireClient.java
@@ -0,0 +1,155 @@
+package io.masticfold.wire;
+
+import io.masticfold.core.config.ConfigSnapshot;
+import io.masticfold.core.link.AgentLink;
+import io.masticfold.core.link.AgentLinks;
+import io.masticfold.core.model.Target;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Holds the links of an entry, one for each target of the configuration. Links are added and removed as targets appear
+ * and disappear; the link of a removed target ends when its last attempt has an outcome.
+ *
+ * <p>Listeners of a link are called on its Netty loop, or within the call if the link is not usable. They must hand
+ * over at once and never block.
+ */
+public final class WireClient implements AgentLinks {
+
+    private static final long STOP_QUIET_MILLIS = 0;
+    private static final long STOP_TIMEOUT_MILLIS = 2_000;
+
+    private final WireEnvironment environment;
+    private final ConfigDeltas deltas;
+    private final PermitHandler permits;
+    private final RandomGenerator random;
+    private final EventLoopGroup group;
+    private final Map<String, TargetLink> links = new ConcurrentHashMap<>();
+    private final ReentrantLock lock = new ReentrantLock();
+    private boolean running;
+
+    /**
+     * Creates a client that has no links until it is started.
+     *
+     * @param environment what the links share
+     * @param permits decides about weight-store permits
+     * @param random source of jitter; must be safe for use by several threads
+     * @param threads number of Netty loops
+     */
+    public WireClient(WireEnvironment environment, PermitHandler permits, RandomGenerator random, int threads) {
+        if (environment.identity().role() != PeerRole.ENTRY) {
+            throw new IllegalArgumentException("a client is an entry: " + environment.identity());
+        }
+        this.environment = environment;
+        this.deltas = new ConfigDeltas(environment.codec());
+        this.permits = permits;
+        this.random = random;
+        this.group = new MultiThreadIoEventLoopGroup(
+                threads, new DefaultThreadFactory("wire-client", true), NioIoHandler.newFactory());
+    }
+
+    /** Starts to dial the agents of the configuration and follows its changes. */
+    public void start() {
+        lock.lock();
+        try {
+            running = true;
+        } finally {
+            lock.unlock();
+        }
+        environment.config().addListener(_snapshot -> changed());
+        reconcile();
+    }
+
+    /** Closes all links; open attempts end as lost. */
+    public void stop() {
+        lock.lock();
+        try {
+            running = false;
+            links.values().forEach(TargetLink::stop);
+            links.clear();
+        } finally {
+            lock.unlock();
+        }
+        group.shutdownGracefully(STOP_QUIET_MILLIS, STOP_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .awaitUninterruptibly(STOP_TIMEOUT_MILLIS);
+    }
+
+    @Override
+    public @Nullable AgentLink link(String target) {
+        return links.get(target);
+    }
+
+    /** Returns the state of all links, in the order of their targets. */
+    public List<LinkStatus> status() {
+        return links.values().stream()
+                .map(TargetLink::status)
+                .sorted(Comparator.comparing(LinkStatus::target))
+                .toList();
+    }
+
+    private void changed() {
+        reconcile();
+        links.values().forEach(TargetLink::configChanged);
+    }
+
+    /** Adds and removes links. Reads the snapshot under the lock, because changes may be announced out of order. */
+    private void reconcile() {
+        lock.lock();
+        try {
+            if (running) {
+                reconcile(environment.config().snapshot());
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void reconcile(ConfigSnapshot snapshot) {
+        for (TargetLink link : List.copyOf(links.values())) {
+            boolean wanted = snapshot.target(link.target())
+                    .map(target -> target.agent().equals(link.address()))
+                    .orElse(false);
+            if (!wanted) {
+                links.remove(link.target());
+                link.retire();
+            }
+        }
+        for (Target target : snapshot.targets()) {
+            if (!links.containsKey(target.name())) {
+                TargetLink link = new TargetLink(target.name(), target.agent(), this::dialer);
+                links.put(target.name(), link);
+                link.start();
+            }
+        }
+    }
+
+    private Dialer dialer(TargetLink link) {
+        EventLoop loop = group.next();
+        Bootstrap bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) WireLimits.CONNECT_TIMEOUT.toMillis())
+                .option(
+                        ChannelOption.WRITE_BUFFER_WATER_MARK,
+                        new WriteBufferWaterMark(WireLimits.LOW_WATER_BYTES, WireLimits.HIGH_WATER_BYTES))
+                .handler(new WireInitializer(
+                        environment, peer -> new EntryConnection(environment, deltas, peer, link, permits)));
+        return new Dialer(bootstrap, loop, NumericAddress.parse(link.address()), new Backoff(random));
+    }
+}
--- /dev/null
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/WireServer.java
@@ -0,0 +1,204 @@
+package io.masticfold.wire;
+
+import io.masticfold.core.link.StageHandler;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Comparator;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Accepts the connections of entries and passes their attempts to the agent's handler. */
+public final class WireServer {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(WireServer.class);
+    private static final int BACKLOG = 1_024;
+    private static final long STOP_QUIET_MILLIS = 0;
+    private static final long STOP_TIMEOUT_MILLIS = 2_000;
+
+    private final WireEnvironment environment;
+    private final InetSocketAddress listen;
+    private final StageHandler handler;
+    private final AgentState state;
+    private final ConfigDeltas deltas;
+    private final EventLoopGroup group;
+    private final Set<AgentConnection> connections = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger accepted = new AtomicInteger();
+    private final AtomicInteger unauthenticated = new AtomicInteger();
+    private volatile @Nullable Channel channel;
+
+    /**
+     * Creates a server that does not listen until it is started.
+     *
+     * @param environment what the links share
+     * @param listen numeric address to listen on; port 0 picks a free one
+     * @param handler runs the attempts; called on the Netty loops, must not block
+     * @param state supplies load and leaving for the heartbeats
+     * @param threads number of Netty loops
+     */
+    public WireServer(
+            WireEnvironment environment,
+            InetSocketAddress listen,
+            StageHandler handler,
+            AgentState state,
+            int threads) {
+        if (environment.identity().role() != PeerRole.AGENT) {
+            throw new IllegalArgumentException("a server is an agent: " + environment.identity());
+        }
+        this.environment = environment;
+        this.listen = listen;
+        this.handler = handler;
+        this.state = state;
+        this.deltas = new ConfigDeltas(environment.codec());
+        this.group = new MultiThreadIoEventLoopGroup(
+                threads, new DefaultThreadFactory("wire-server", true), NioIoHandler.newFactory());
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @throws IOException if the address cannot be bound
+     */
+    public void start() throws IOException {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(
+                        ChannelOption.WRITE_BUFFER_WATER_MARK,
+                        new WriteBufferWaterMark(WireLimits.LOW_WATER_BYTES, WireLimits.HIGH_WATER_BYTES))
+                .childHandler(new Acceptor());
+        ChannelFuture bound = bootstrap.bind(listen).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("cannot listen on " + listen, bound.cause());
+        }
+        channel = bound.channel();
+        environment.config().addListener(_snapshot -> connections.forEach(AgentConnection::configChanged));
+        WireEvent.SERVER_STARTED.log(LOGGER, address());
+    }
+
+    /** Stops listening and closes all connections. */
+    public void stop() {
+        Channel listening = channel;
+        if (listening != null) {
+            listening.close().awaitUninterruptibly(STOP_TIMEOUT_MILLIS);
+        }
+        connections.forEach(AgentConnection::close);
+        group.shutdownGracefully(STOP_QUIET_MILLIS, STOP_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .awaitUninterruptibly(STOP_TIMEOUT_MILLIS);
+        WireEvent.SERVER_STOPPED.log(LOGGER);
+    }
+
+    /** Returns the address the server listens on. */
+    public InetSocketAddress address() {
+        Channel listening = channel;
+        if (listening == null) {
+            throw new IllegalStateException("the server is not started");
+        }
+        return (InetSocketAddress) listening.localAddress();
+    }
+
+    /** Sends a heartbeat on every link now, so that entries learn of a change before the next interval. */
+    public void announce() {
+        connections.forEach(connection -> connection.execute(connection::sendHeartbeat));
+    }
+
+    /** Returns the state of the links with entries, in the order of their names. */
+    public List<LinkStatus> status() {
+        return connections.stream()
+                .map(connection ->
+                        connection.status(connection.peer().identity().process()))
+                .sorted(Comparator.comparing(LinkStatus::target))
+                .toList();
+    }
+
+    /** Returns the number of authenticated connections. */
+    public int connectedEntries() {
+        return connections.size();
+    }
+
+    /**
+     * Asks the connected entries, one after the other, for a weight-store permit. Only the entry with the weight-store
+     * lease grants one.
+     *
+     * @param target target that wants to load weights
+     * @param bytes number of bytes to load
+     * @param reply takes the first grant, or {@link PermitGrant#DENIED}, on any thread
+     */
+    public void requestPermit(String target, long bytes, Consumer<PermitGrant> reply) {
+        requestPermit(List.copyOf(connections).iterator(), target, bytes, reply);
+    }
+
+    private void requestPermit(
+            Iterator<AgentConnection> remaining, String target, long bytes, Consumer<PermitGrant> reply) {
+        if (!remaining.hasNext()) {
+            reply.accept(PermitGrant.DENIED);
+            return;
+        }
+        remaining.next().requestPermit(target, bytes, grant -> {
+            if (grant.granted()) {
+                reply.accept(grant);
+            } else {
+                requestPermit(remaining, target, bytes, reply);
+            }
+        });
+    }
+
+    void opened(AgentConnection connection) {
+        connections.add(connection);
+    }
+
+    void closed(AgentConnection connection) {
+        connections.remove(connection);
+    }
+
+    /** Sets up accepted connections within the limits. */
+    private final class Acceptor extends ChannelInitializer<Channel> {
+
+        @Override
+        protected void initChannel(Channel accepting) {
+            int open = accepted.incrementAndGet();
+            int unproved = unauthenticated.incrementAndGet();
+            AtomicBoolean proved = new AtomicBoolean();
+            accepting.closeFuture().addListener(_closed -> {
+                accepted.decrementAndGet();
+                if (proved.compareAndSet(false, true)) {
+                    unauthenticated.decrementAndGet();
+                }
+            });
+            if (open > WireLimits.MAX_CONNECTIONS || unproved > WireLimits.MAX_UNAUTHENTICATED) {
+                environment.telemetry().count("connection_limit");
+                WireEvent.TOO_MANY_CONNECTIONS.log(LOGGER, accepting.remoteAddress(), open);
+                accepting.close();
+                return;
+            }
+            accepting.pipeline().addLast(new WireInitializer(environment, peer -> {
+                if (proved.compareAndSet(false, true)) {
+                    unauthenticated.decrementAndGet();
+                }
+                return new AgentConnection(environment, deltas, peer, WireServer.this, handler, state);
+            }));
+        }
+    }
+}
