--- a/masticfold-testkit/src/main/java/io/masticfold/testkit/package-info.java
+++ b/masticfold-testkit/src/main/java/io/masticfold/testkit/package-info.java
@@ -1,2 +1,5 @@
-/** Root package of the masticfold-testkit module. */
+/** Stand-ins for the systems around masticfold, usable in a test process or as processes of their own. */
+@NullMarked
 package io.masticfold.testkit;
+
+import org.jspecify.annotations.NullMarked;
