--- a/masticfold-core/src/main/java/io/masticfold/core/attempt/StageCompleted.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/attempt/StageCompleted.java
@@ -5,7 +5,8 @@
 /**
  * Ends an attempt with its whole result.
  *
- * @param result the whole result; for a streaming attempt the concatenation of its chunks from offset 0
+ * @param result the result from the resume offset of the attempt on, the whole result for an attempt that resumes
+ *     nothing; for a streaming attempt the concatenation of its chunks
  * @param serviceMicros time the target took, in microseconds
  */
 public record StageCompleted(Payload result, long serviceMicros) implements StageOutcome {
