Add the settlement of claims of non-idempotent stages

Cause: a non-idempotent stage must run at most once over retries, lost answers, refusals and agent restarts.

Change: ClaimProtocol makes the store name one attempt by conditional writes, settles lost answers by reading back, seals the attempt another run left behind and moves the claim only when that attempt is known not to have run. Every write of one settlement names the same attempt, which was never dispatched, so a lost write may take effect at any later time. The fingerprint is that of the request body.

Ruled out: a fingerprint of the stage input, because an earlier stage that answers differently would make the key unusable for the replay; dispatching while the answer to the write is outstanding.

--- a/masticfold-core/src/main/java/io/masticfold/core/claim/Claim.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/claim/Claim.java
@@ -11,7 +11,7 @@
  * @param attempt the only attempt that may run
  * @param target target the attempt is sent to
  * @param agent incarnation of the agent the attempt is addressed to
- * @param fingerprint SHA-256 of the stage input, in lower-case hexadecimal digits
+ * @param fingerprint SHA-256 of the request body, in lower-case hexadecimal digits
  * @param createdMillis wall-clock time of the first claim, in milliseconds since the epoch; for retention only
  * @param result the kept result once the attempt completed, null before
  */
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/claim/ClaimProtocol.java
@@ -0,0 +1,157 @@
+package io.masticfold.core.claim;
+
+import io.masticfold.core.attempt.AttemptId;
+import io.masticfold.core.attempt.Payload;
+import io.masticfold.core.attempt.SealOutcome;
+import io.masticfold.core.link.AgentLink;
+import io.masticfold.core.link.AgentLinks;
+import io.masticfold.core.telemetry.Telemetry;
+import io.masticfold.core.time.Cancellable;
+import io.masticfold.core.time.Deadline;
+import io.masticfold.core.time.Scheduler;
+import io.masticfold.core.time.TimeSource;
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Keeps a non-idempotent stage from running twice. At any time the store names the only attempt that may run; the name
+ * changes only after the agent of the named attempt, or the entry that owns it, knows that it did not run and never
+ * will.
+ */
+public final class ClaimProtocol {
+
+    private final ClaimStore store;
+    private final AgentLinks links;
+    private final ClaimSettings settings;
+    private final Telemetry telemetry;
+    private final TimeSource time;
+
+    /** Creates the protocol over a store and the links of an entry. */
+    public ClaimProtocol(
+            ClaimStore store, AgentLinks links, ClaimSettings settings, Telemetry telemetry, TimeSource time) {
+        this.store = store;
+        this.links = links;
+        this.settings = settings;
+        this.telemetry = telemetry;
+        this.time = time;
+    }
+
+    /** Returns whether the store can be reached, as far as is known without asking it. */
+    public boolean available() {
+        return store.available();
+    }
+
+    /** Returns the time after which the store may be back. */
+    public Duration retryAfter() {
+        return store.retryAfter();
+    }
+
+    /**
+     * Makes the store name an attempt, or finds out why it may not.
+     *
+     * @param key the claim
+     * @param wanted claim that names the new attempt, which has never been dispatched
+     * @param refused attempts of this request that are known not to have run
+     * @param held the claim of a refused attempt of this request, null before the first
+     * @param scheduler event loop of the request; the listener is called on it
+     * @param deadline end of the request's window
+     * @param listener receives the decision
+     */
+    public void settle(
+            ClaimKey key,
+            Claim wanted,
+            Set<AttemptId> refused,
+            @Nullable VersionedClaim held,
+            Scheduler scheduler,
+            Deadline deadline,
+            ClaimListener listener) {
+        new ClaimSettlement(this, key, wanted, refused, scheduler, deadline, listener)
+                .start(held == null ? 0 : held.version());
+    }
+
+    /**
+     * Asks the agent a claim names what became of the attempt.
+     *
+     * @param claim names the attempt, its target and the agent's incarnation
+     * @param scheduler event loop of the request; the reply comes on it, once, even if the agent never answers
+     * @param deadline end of the request's window
+     * @param reply receives the outcome
+     */
+    public void seal(Claim claim, Scheduler scheduler, Deadline deadline, Consumer<SealOutcome> reply) {
+        AgentLink link = links.link(claim.target());
+        if (link == null || !link.usable()) {
+            telemetry.count("claim_agent_unreachable");
+            scheduler.schedule(Duration.ZERO, () -> reply.accept(SealOutcome.of(SealOutcome.State.UNKNOWN)));
+            return;
+        }
+        AtomicBoolean answered = new AtomicBoolean();
+        Cancellable timeout = scheduler.schedule(
+                shorter(settings.sealTimeout(), deadline.remaining(time)),
+                () -> once(answered, () -> reply.accept(SealOutcome.of(SealOutcome.State.UNKNOWN))));
+        link.seal(
+                claim.attempt(),
+                claim.agent(),
+                outcome -> scheduler.schedule(Duration.ZERO, () -> {
+                    timeout.cancel();
+                    once(answered, () -> reply.accept(outcome));
+                }));
+    }
+
+    /**
+     * Keeps the result of a held claim, so that a replay is answered even when the agent is gone. The write is made
+     * once and its answer is not awaited: without it a replay asks the agent.
+     *
+     * @param key the claim
+     * @param held the claim as the store has it
+     * @param result result of the claim's attempt
+     */
+    public void complete(ClaimKey key, VersionedClaim held, Payload result) {
+        if (result.size() > settings.keptResultBytes()) {
+            telemetry.count("claim_result_too_large");
+            return;
+        }
+        store.write(
+                key,
+                held.version(),
+                held.claim().completed(result),
+                settings.operationTimeout(),
+                this::countCompletion);
+    }
+
+    private void countCompletion(ClaimReply reply) {
+        telemetry.count(reply instanceof ClaimReply.Found ? "claim_completed" : "claim_completion_failed");
+    }
+
+    ClaimStore store() {
+        return store;
+    }
+
+    ClaimSettings settings() {
+        return settings;
+    }
+
+    Telemetry telemetry() {
+        return telemetry;
+    }
+
+    TimeSource time() {
+        return time;
+    }
+
+    Duration operationTimeout(Deadline deadline) {
+        return shorter(settings.operationTimeout(), deadline.remaining(time));
+    }
+
+    private static void once(AtomicBoolean done, Runnable task) {
+        if (done.compareAndSet(false, true)) {
+            task.run();
+        }
+    }
+
+    private static Duration shorter(Duration first, Duration second) {
+        return first.compareTo(second) <= 0 ? first : second;
+    }
+}
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/claim/ClaimSettlement.java
@@ -0,0 +1,161 @@
+package io.masticfold.core.claim;
+
+import io.masticfold.core.attempt.AttemptId;
+import io.masticfold.core.attempt.SealOutcome;
+import io.masticfold.core.time.Deadline;
+import io.masticfold.core.time.Scheduler;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * Settles one claim for one wanted attempt. Every write repeats the same attempt, so a write whose answer was lost may
+ * take effect at any later time without naming an attempt that this or another entry would dispatch a second time.
+ */
+final class ClaimSettlement {
+
+    private final ClaimProtocol protocol;
+    private final ClaimKey key;
+    private final Claim wanted;
+    private final Set<AttemptId> notRun;
+    private final Scheduler scheduler;
+    private final Deadline deadline;
+    private final ClaimListener listener;
+    private int rounds;
+    private int readBacks;
+    private boolean decided;
+
+    ClaimSettlement(
+            ClaimProtocol protocol,
+            ClaimKey key,
+            Claim wanted,
+            Set<AttemptId> refused,
+            Scheduler scheduler,
+            Deadline deadline,
+            ClaimListener listener) {
+        this.protocol = protocol;
+        this.key = key;
+        this.wanted = wanted;
+        this.notRun = new HashSet<>(refused);
+        this.scheduler = scheduler;
+        this.deadline = deadline;
+        this.listener = listener;
+    }
+
+    void start(long expectedVersion) {
+        write(expectedVersion);
+    }
+
+    private void write(long expectedVersion) {
+        if (deadline.expired(protocol.time())) {
+            unsettled(Duration.ZERO);
+            return;
+        }
+        protocol.store()
+                .write(
+                        key,
+                        expectedVersion,
+                        wanted,
+                        protocol.operationTimeout(deadline),
+                        onLoop(reply -> written(expectedVersion, reply)));
+    }
+
+    private void written(long expectedVersion, ClaimReply reply) {
+        if (reply instanceof ClaimReply.Found found) {
+            resolve(found.claim());
+        } else if (reply instanceof ClaimReply.Conflict conflict) {
+            protocol.telemetry().count("claim_conflict");
+            if (conflict.current() == null) {
+                readBack(expectedVersion);
+            } else {
+                resolve(conflict.current());
+            }
+        } else if (reply instanceof ClaimReply.Unavailable unavailable) {
+            unsettled(unavailable.retryAfter());
+        } else {
+            protocol.telemetry().count("claim_answer_lost");
+            readBack(expectedVersion);
+        }
+    }
+
+    private void readBack(long expectedVersion) {
+        if (readBacks++ >= protocol.settings().readBacks() || deadline.expired(protocol.time())) {
+            unsettled(Duration.ZERO);
+            return;
+        }
+        protocol.store()
+                .read(key, protocol.operationTimeout(deadline), onLoop(reply -> readBack(expectedVersion, reply)));
+    }
+
+    private void readBack(long expectedVersion, ClaimReply reply) {
+        if (reply instanceof ClaimReply.Found found) {
+            if (found.claim().version() == expectedVersion) {
+                write(expectedVersion);
+            } else {
+                resolve(found.claim());
+            }
+        } else if (reply instanceof ClaimReply.Absent) {
+            // The claim is absent, or retention removed one that named an attempt known not to have run.
+            write(0);
+        } else {
+            scheduler.schedule(protocol.settings().readBackDelay(), () -> readBack(expectedVersion));
+        }
+    }
+
+    private void resolve(VersionedClaim current) {
+        Claim claim = current.claim();
+        if (claim.attempt().equals(wanted.attempt())) {
+            decide(new ClaimDecision.Held(current));
+        } else if (!claim.fingerprint().equals(wanted.fingerprint())) {
+            decide(new ClaimDecision.KeyReused());
+        } else if (claim.result() != null) {
+            listener.found(claim.attempt());
+            decide(new ClaimDecision.Replayed(claim, claim.result()));
+        } else if (rounds++ >= protocol.settings().rounds()) {
+            protocol.telemetry().count("claim_contended");
+            decide(new ClaimDecision.Running(claim));
+        } else if (notRun.contains(claim.attempt())) {
+            write(current.version());
+        } else {
+            listener.found(claim.attempt());
+            protocol.seal(claim, scheduler, deadline, outcome -> sealed(current, outcome));
+        }
+    }
+
+    private void sealed(VersionedClaim current, SealOutcome outcome) {
+        Claim claim = current.claim();
+        switch (outcome.state()) {
+            case DONE ->
+                decide(
+                        outcome.result() == null
+                                ? new ClaimDecision.Spent(claim)
+                                : new ClaimDecision.Replayed(claim, outcome.result()));
+            case RUNNING -> decide(new ClaimDecision.Running(claim));
+            case NOT_RUN -> {
+                notRun.add(claim.attempt());
+                listener.notRun(claim.attempt());
+                protocol.telemetry().count("claim_moved");
+                write(current.version());
+            }
+            case UNKNOWN -> decide(new ClaimDecision.Undecided(claim));
+            default -> throw new IllegalStateException("unknown seal state: " + outcome.state());
+        }
+    }
+
+    private void unsettled(Duration retryAfter) {
+        protocol.telemetry().count("claim_unsettled");
+        decide(new ClaimDecision.Unsettled(retryAfter));
+    }
+
+    private void decide(ClaimDecision decision) {
+        if (!decided) {
+            decided = true;
+            listener.decided(decision);
+        }
+    }
+
+    private Consumer<ClaimReply> onLoop(Consumer<ClaimReply> next) {
+        return reply -> scheduler.schedule(Duration.ZERO, () -> next.accept(reply));
+    }
+}
