Add the entry's run of a request

Cause: the entry needs the run of a request through its stages under one deadline, with retries, hedges, streams and claims.

Change: PipelineRunner keeps each run on the event loop that submitted it, matches outcomes by attempt, retries idempotent stages elsewhere within the retry budget, hedges slow ones if set, resumes cut streams and claims non-idempotent stages before each dispatch. The tests run the real runner at two entries over a fake store and fake agents in virtual time.

Ruled out: hedging of streams, since the caller sees bytes before one attempt has won; competing for a claim without bound.

--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/pipeline/AbstractStageRun.java
@@ -0,0 +1,313 @@
+package io.masticfold.core.pipeline;
+
+import io.masticfold.core.attempt.AttemptId;
+import io.masticfold.core.attempt.Incarnation;
+import io.masticfold.core.attempt.Payload;
+import io.masticfold.core.attempt.StageCompleted;
+import io.masticfold.core.attempt.StageDispatch;
+import io.masticfold.core.attempt.StageFailed;
+import io.masticfold.core.attempt.StageOutcome;
+import io.masticfold.core.attempt.StageRefused;
+import io.masticfold.core.attempt.TargetLoad;
+import io.masticfold.core.error.ErrorKind;
+import io.masticfold.core.error.MasticfoldException;
+import io.masticfold.core.error.Ran;
+import io.masticfold.core.model.Stage;
+import io.masticfold.core.routing.Route;
+import io.masticfold.core.routing.RouteRequest;
+import io.masticfold.core.stream.StreamReassembler;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Runs one stage of a request by one or more attempts. Outcomes are matched by attempt: one that comes late or twice is
+ * counted and dropped.
+ *
+ * <p>The first retry after a refusal is free, because a refusal costs the target nothing and the entry's view of the
+ * load is always a little old. Further refusals count against the retry budget like failures: they mean that the pool
+ * is full, and unbounded retries would multiply the messages to its agents.
+ */
+abstract class AbstractStageRun {
+
+    private final PipelineRun run;
+    private final Stage stage;
+    private final int index;
+    private final Payload input;
+    private final boolean streaming;
+    private final StreamReassembler stream;
+    private final Map<AttemptId, StageAttempt> open = new LinkedHashMap<>();
+    private final Set<String> tried = new HashSet<>();
+    private long firstDispatchNanos;
+    private int attempts;
+    private boolean freeRetryUsed;
+    private long consumedBytes;
+
+    AbstractStageRun(PipelineRun run, Stage stage, int index, Payload input) {
+        this.run = run;
+        this.stage = stage;
+        this.index = index;
+        this.input = input;
+        this.streaming = run.streams(index, stage);
+        this.stream = new StreamReassembler(run::chunk);
+    }
+
+    /** Starts the stage, or refuses it if its minimum does not fit into the remaining time. */
+    void start() {
+        if (run.budgetFits(index)) {
+            run.context().retries().earn();
+            launch();
+        } else {
+            run.fail(
+                    ErrorKind.BUDGET_TOO_SHORT,
+                    "stage '" + stage.name() + "' and those after it do not fit into the remaining time",
+                    Duration.ZERO);
+        }
+    }
+
+    /** Starts an attempt at a target not tried yet. */
+    abstract void launch();
+
+    /**
+     * Takes the outcome of an attempt.
+     *
+     * @param late whether the attempt was given up before, so that the outcome no longer changes the answer
+     */
+    abstract void ended(StageAttempt attempt, StageOutcome outcome, boolean late);
+
+    final void outcome(StageAttempt attempt, StageOutcome outcome, TargetLoad load) {
+        if (!open.remove(attempt.id(), attempt)) {
+            run.context().telemetry().count("late_outcome");
+            ended(attempt, outcome, true);
+            return;
+        }
+        attempt.route().release(outcome, load, elapsedNanos(attempt));
+        run.account().settle(attempt.id(), ran(outcome));
+        ended(attempt, outcome, false);
+    }
+
+    final void chunk(StageAttempt attempt, long offset, Payload bytes) {
+        if (!streaming || !open.containsKey(attempt.id())) {
+            run.context().telemetry().count("late_chunk");
+            return;
+        }
+        try {
+            stream.part(offset, bytes);
+        } catch (MasticfoldException violation) {
+            giveUp(attempt, new StageFailed(violation.kind(), Ran.UNKNOWN));
+            run.fail(violation.kind(), violation.getMessage(), Duration.ZERO);
+        }
+    }
+
+    /** Allows the target to send as much as the caller has consumed beyond the offset the attempt started from. */
+    final void consumed(int bytes) {
+        if (!streaming) {
+            return;
+        }
+        long before = consumedBytes;
+        consumedBytes += bytes;
+        for (StageAttempt attempt : open.values()) {
+            long granted = consumedBytes - Math.max(before, attempt.resumeOffset());
+            if (granted > 0) {
+                attempt.route().link().grant(attempt.id(), (int) granted);
+            }
+        }
+    }
+
+    /** Cancels what is in flight because the request has ended. */
+    void abandon(ErrorKind reason) {
+        for (StageAttempt attempt : openAttempts()) {
+            giveUp(attempt, new StageFailed(reason, Ran.UNKNOWN));
+        }
+    }
+
+    final void giveUp(StageAttempt attempt, StageOutcome outcome) {
+        if (open.remove(attempt.id(), attempt)) {
+            attempt.route().release(outcome, attempt.route().link().load(), elapsedNanos(attempt));
+            attempt.route().link().cancel(attempt.id());
+        }
+    }
+
+    /** Chooses a target not tried yet whose agent is known. */
+    final Optional<Route> choose() {
+        Optional<Route> route = run.context()
+                .router()
+                .choose(new RouteRequest(
+                        stage.pool(),
+                        run.context().settings().zone(),
+                        PrefixHashSupport.hash(input, run.context().settings().prefixBytes()),
+                        tried));
+        route.ifPresent(chosen -> tried.add(chosen.target().name()));
+        return route;
+    }
+
+    final void dispatch(AttemptId id, Route route, Incarnation agent) {
+        long now = run.context().time().nanoTime();
+        if (attempts++ == 0) {
+            firstDispatchNanos = now;
+        }
+        long resumeOffset = stream.delivered();
+        StageAttempt attempt = new StageAttempt(this, id, route, now, resumeOffset);
+        open.put(id, attempt);
+        run.account().mayRun(id, stage.idempotent());
+        route.link().dispatch(message(id, route, agent, resumeOffset), attempt);
+    }
+
+    private StageDispatch message(AttemptId id, Route route, Incarnation agent, long resumeOffset) {
+        PipelineRequest request = run.request();
+        return new StageDispatch(
+                id,
+                request.requestId(),
+                request.contract().workspace(),
+                request.pipeline().name(),
+                index,
+                route.target().name(),
+                agent,
+                stage.idempotent(),
+                request.contract().priority(),
+                request.contract().worth(),
+                TimeUnit.NANOSECONDS.toMicros(
+                        request.deadline().remainingNanos(run.context().time())),
+                TimeUnit.MILLISECONDS.toMicros(stage.minimumMillis()),
+                streaming,
+                resumeOffset,
+                PrefixHashSupport.hash(input, run.context().settings().prefixBytes()),
+                input);
+    }
+
+    /** Completes the stage with the outcome of an attempt. */
+    final void complete(StageAttempt attempt, StageCompleted outcome) {
+        long elapsed = elapsedNanos(attempt);
+        run.context().telemetry().stage(stage.pool(), stage.cost(), elapsed);
+        complete(
+                attempt.resumeOffset(),
+                outcome.result(),
+                attempt.route().target().name());
+    }
+
+    /**
+     * Completes the stage.
+     *
+     * @param offset offset of the result's first byte, in bytes; other than 0 for a resumed stream only
+     * @param result the result from the offset on
+     * @param target target that ran the stage
+     */
+    final void complete(long offset, Payload result, String target) {
+        Payload whole = result;
+        if (streaming) {
+            try {
+                stream.part(offset, result);
+                stream.end(offset + result.size());
+                whole = stream.content();
+            } catch (MasticfoldException violation) {
+                run.fail(violation.kind(), violation.getMessage(), Duration.ZERO);
+                return;
+            }
+        }
+        long elapsed = attempts == 0 ? 0 : run.context().time().nanoTime() - firstDispatchNanos;
+        run.stageCompleted(
+                index, whole, new StageReport(stage.name(), target, TimeUnit.NANOSECONDS.toMicros(elapsed), attempts));
+    }
+
+    /** Starts another attempt if the outcome and the budgets allow it, or ends the request with the outcome's kind. */
+    final void retryOrFail(StageOutcome outcome) {
+        ErrorKind kind = kind(outcome);
+        boolean possible = kind.retry().elsewhere() && mayAttempt();
+        if (!possible) {
+            fail(outcome);
+        } else if (mayRetry(outcome)) {
+            run.context().telemetry().retried(kind);
+            stream.dropPending();
+            launch();
+        } else {
+            run.fail(
+                    ErrorKind.RETRY_BUDGET_SPENT,
+                    "stage '" + stage.name() + "' ended with " + kind.code() + " and the retry budget is spent",
+                    retryAfter(outcome));
+        }
+    }
+
+    /** Ends the request with the kind of an attempt's outcome. */
+    final void fail(StageOutcome outcome) {
+        run.fail(
+                kind(outcome),
+                "stage '" + stage.name() + "' ended with " + kind(outcome).code(),
+                retryAfter(outcome));
+    }
+
+    /** Ends the request because no target can take the stage; an earlier outcome says why better than this. */
+    final void failWithoutTarget(@Nullable StageOutcome last) {
+        if (last == null) {
+            run.fail(ErrorKind.NO_TARGET, "no target of pool '" + stage.pool() + "' can take work", Duration.ZERO);
+        } else {
+            fail(last);
+        }
+    }
+
+    /** Returns whether the number of attempts and the remaining time allow another attempt. */
+    final boolean mayAttempt() {
+        return attempts < run.context().settings().maxAttempts() && run.budgetFits(index);
+    }
+
+    private boolean mayRetry(StageOutcome outcome) {
+        if (outcome instanceof StageRefused && !freeRetryUsed) {
+            freeRetryUsed = true;
+            return true;
+        }
+        return run.context().retries().spend();
+    }
+
+    /** Returns what an outcome says about execution; a refused duplicate says nothing about its first copy. */
+    static Ran ran(StageOutcome outcome) {
+        return kindIs(outcome, ErrorKind.DUPLICATE_ATTEMPT) ? Ran.UNKNOWN : outcome.ran();
+    }
+
+    private static boolean kindIs(StageOutcome outcome, ErrorKind kind) {
+        return outcome instanceof StageRefused refused && refused.kind() == kind;
+    }
+
+    static ErrorKind kind(StageOutcome outcome) {
+        if (outcome instanceof StageRefused refused) {
+            return refused.kind();
+        }
+        return outcome instanceof StageFailed failed ? failed.kind() : ErrorKind.INTERNAL;
+    }
+
+    private static Duration retryAfter(StageOutcome outcome) {
+        return outcome instanceof StageRefused refused ? refused.retryAfter() : Duration.ZERO;
+    }
+
+    private long elapsedNanos(StageAttempt attempt) {
+        return run.context().time().nanoTime() - attempt.startNanos();
+    }
+
+    boolean inFlight() {
+        return !open.isEmpty();
+    }
+
+    final List<StageAttempt> openAttempts() {
+        return List.copyOf(open.values());
+    }
+
+    final boolean streaming() {
+        return streaming;
+    }
+
+    final PipelineRun run() {
+        return run;
+    }
+
+    final Stage stage() {
+        return stage;
+    }
+
+    final int index() {
+        return index;
+    }
+}
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/pipeline/PipelineRunner.java
@@ -0,0 +1,52 @@
+package io.masticfold.core.pipeline;
+
+import io.masticfold.core.attempt.AttemptIdSource;
+import io.masticfold.core.claim.ClaimProtocol;
+import io.masticfold.core.claim.ClaimStore;
+import io.masticfold.core.link.AgentLinks;
+import io.masticfold.core.retry.RetryBudget;
+import io.masticfold.core.routing.Router;
+import io.masticfold.core.telemetry.Telemetry;
+import io.masticfold.core.time.Scheduler;
+import io.masticfold.core.time.TimeSource;
+
+/**
+ * Runs the stages of each request in order under one deadline. A run stays on the event loop that submitted it: answers
+ * of links and of the claim store are handed over to it. Safe for use by several threads.
+ */
+public final class PipelineRunner implements PipelineService {
+
+    private final PipelineContext context;
+
+    /**
+     * Creates a runner.
+     *
+     * @param settings settings of the runs
+     * @param router chooses a target for each attempt
+     * @param links finds the agent a claim names
+     * @param claims keeps the claims of non-idempotent stages
+     * @param ids issues attempt ids
+     * @param retries bounds retries and hedges
+     * @param telemetry counts refusals, retries and late outcomes
+     * @param time supplies the time for deadlines
+     */
+    public PipelineRunner(
+            PipelineSettings settings,
+            Router router,
+            AgentLinks links,
+            ClaimStore claims,
+            AttemptIdSource ids,
+            RetryBudget retries,
+            Telemetry telemetry,
+            TimeSource time) {
+        ClaimProtocol protocol = new ClaimProtocol(claims, links, settings.claims(), telemetry, time);
+        this.context = new PipelineContext(settings, router, protocol, ids, retries, telemetry, time);
+    }
+
+    @Override
+    public RunningRequest submit(PipelineRequest request, Scheduler scheduler, ResponseListener listener) {
+        PipelineRun run = new PipelineRun(context, request, scheduler, listener);
+        run.start();
+        return run;
+    }
+}
--- /dev/null
+++ b/masticfold-core/src/test/java/io/masticfold/core/pipeline/FakeAgent.java
@@ -0,0 +1,158 @@
+package io.masticfold.core.pipeline;
+
+import io.masticfold.core.attempt.AttemptId;
+import io.masticfold.core.attempt.Incarnation;
+import io.masticfold.core.attempt.Payload;
+import io.masticfold.core.attempt.SealOutcome;
+import io.masticfold.core.attempt.StageCompleted;
+import io.masticfold.core.attempt.StageDispatch;
+import io.masticfold.core.attempt.StageFailed;
+import io.masticfold.core.attempt.StageOutcome;
+import io.masticfold.core.attempt.StageRefused;
+import io.masticfold.core.attempt.TargetLoad;
+import io.masticfold.core.error.ErrorKind;
+import io.masticfold.core.error.Ran;
+import io.masticfold.core.link.StageListener;
+import io.masticfold.core.time.ManualScheduler;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Keeps an attempt ledger as an agent does and runs attempts by plan. */
+final class FakeAgent {
+
+    /** Lists what can become of an attempt. */
+    enum Plan {
+        COMPLETE,
+        REFUSE,
+        /** The target answers with an error. */
+        FAIL,
+        /** The connection to the target breaks after the call ran. */
+        BREAK,
+        /** The target answers after two seconds. */
+        STALL,
+        /** A stream breaks after its first chunk. */
+        CUT
+    }
+
+    static final int CHUNK_BYTES = 4;
+
+    private static final Duration SERVICE = Duration.ofMillis(5);
+    private static final Duration STALL = Duration.ofSeconds(2);
+
+    private final ManualScheduler scheduler;
+    private final List<StageDispatch> executed;
+    private final Map<AttemptId, SealOutcome> ledger = new HashMap<>();
+    private long restarts;
+    final String name;
+    final Deque<Plan> plans = new ArrayDeque<>();
+
+    FakeAgent(String name, ManualScheduler scheduler, List<StageDispatch> executed) {
+        this.name = name;
+        this.scheduler = scheduler;
+        this.executed = executed;
+    }
+
+    Incarnation incarnation() {
+        return new Incarnation(name.hashCode() & 0xffff, restarts);
+    }
+
+    /** Forgets the ledger, as a new process does; calls that reached the target have had their effect. */
+    void restart() {
+        restarts++;
+        ledger.clear();
+    }
+
+    void dispatch(StageDispatch dispatch, StageListener listener) {
+        SealOutcome known = ledger.get(dispatch.attempt());
+        if (known != null) {
+            boolean sealed = known.state() == SealOutcome.State.NOT_RUN;
+            refuse(listener, sealed ? ErrorKind.SEALED : ErrorKind.DUPLICATE_ATTEMPT);
+        } else if (!dispatch.agent().equals(incarnation())) {
+            ledger.put(dispatch.attempt(), SealOutcome.of(SealOutcome.State.NOT_RUN));
+            refuse(listener, ErrorKind.STALE_INCARNATION);
+        } else {
+            run(dispatch, listener, plans.isEmpty() ? Plan.COMPLETE : plans.poll());
+        }
+    }
+
+    private void run(StageDispatch dispatch, StageListener listener, Plan plan) {
+        if (plan == Plan.REFUSE) {
+            ledger.put(dispatch.attempt(), SealOutcome.of(SealOutcome.State.NOT_RUN));
+            refuse(listener, ErrorKind.QUEUE_FULL);
+            return;
+        }
+        executed.add(dispatch);
+        ledger.put(dispatch.attempt(), SealOutcome.of(SealOutcome.State.RUNNING));
+        Payload tail = tail(result(dispatch.body()), dispatch.resumeOffset());
+        switch (plan) {
+            case FAIL -> end(dispatch, listener, new StageFailed(ErrorKind.TARGET_FAILED, Ran.YES), SERVICE);
+            case BREAK -> end(dispatch, listener, new StageFailed(ErrorKind.TARGET_UNREACHABLE, Ran.UNKNOWN), SERVICE);
+            case CUT -> {
+                listener.chunk(dispatch.resumeOffset(), chunk(tail, 0));
+                end(dispatch, listener, new StageFailed(ErrorKind.TARGET_UNREACHABLE, Ran.UNKNOWN), SERVICE);
+            }
+            default -> {
+                if (dispatch.streaming()) {
+                    // Reordered on purpose: the second half of the stream comes first.
+                    stream(dispatch, listener, tail);
+                }
+                end(dispatch, listener, new StageCompleted(tail, 1), plan == Plan.STALL ? STALL : SERVICE);
+            }
+        }
+    }
+
+    private static void stream(StageDispatch dispatch, StageListener listener, Payload tail) {
+        int chunks = (tail.size() + CHUNK_BYTES - 1) / CHUNK_BYTES;
+        for (int chunk = chunks - 1; chunk >= 0; chunk--) {
+            int start = chunk * CHUNK_BYTES;
+            listener.chunk(dispatch.resumeOffset() + start, chunk(tail, start));
+        }
+    }
+
+    private void end(StageDispatch dispatch, StageListener listener, StageOutcome outcome, Duration delay) {
+        Incarnation started = incarnation();
+        scheduler.schedule(delay, () -> {
+            if (started.equals(incarnation())) {
+                ledger.put(dispatch.attempt(), kept(outcome));
+                listener.outcome(outcome, TargetLoad.UNKNOWN);
+            }
+        });
+    }
+
+    private static SealOutcome kept(StageOutcome outcome) {
+        if (outcome instanceof StageCompleted completed) {
+            return SealOutcome.done(completed.result());
+        }
+        return SealOutcome.of(outcome.ran() == Ran.YES ? SealOutcome.State.DONE : SealOutcome.State.UNKNOWN);
+    }
+
+    private static void refuse(StageListener listener, ErrorKind kind) {
+        listener.outcome(new StageRefused(kind, Duration.ofMillis(30)), TargetLoad.UNKNOWN);
+    }
+
+    SealOutcome seal(AttemptId attempt, Incarnation agent) {
+        if (!agent.equals(incarnation())) {
+            return SealOutcome.of(SealOutcome.State.UNKNOWN);
+        }
+        return ledger.computeIfAbsent(attempt, _id -> SealOutcome.of(SealOutcome.State.NOT_RUN));
+    }
+
+    /** Returns the result every target gives for an input. */
+    static Payload result(Payload body) {
+        return Payload.ofUtf8("<" + body.utf8() + ">");
+    }
+
+    private static Payload tail(Payload whole, long offset) {
+        return Payload.wrap(Arrays.copyOfRange(whole.unsafeBytes(), (int) offset, whole.size()));
+    }
+
+    private static Payload chunk(Payload bytes, int start) {
+        int end = Math.min(bytes.size(), start + CHUNK_BYTES);
+        return Payload.wrap(Arrays.copyOfRange(bytes.unsafeBytes(), start, end));
+    }
+}
--- /dev/null
+++ b/masticfold-core/src/test/java/io/masticfold/core/pipeline/PipelineRunnerProperties.java
@@ -0,0 +1,155 @@
+package io.masticfold.core.pipeline;
+
+import static io.masticfold.core.pipeline.PipelineWorld.PAY;
+import static io.masticfold.core.pipeline.PipelineWorld.READ;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.masticfold.core.attempt.Payload;
+import io.masticfold.core.attempt.StageDispatch;
+import io.masticfold.core.error.Ran;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.Tag;
+
+/** Guards the invariants of a request over random histories of retries, faults and restarts at two entries. */
+@Tag("property")
+final class PipelineRunnerProperties {
+
+    private static final Duration SETTLED = Duration.ofSeconds(10);
+
+    /** Lists what a history is made of. */
+    enum Action {
+        PAY_AT_FIRST,
+        PAY_AT_SECOND,
+        READ_AND_PAY,
+        LOSE_LINK,
+        RESTORE_LINKS,
+        RESTART_AGENT,
+        PLAN,
+        STORE_DOWN,
+        STORE_UP,
+        STORE_FAULT,
+        STORE_SLOW
+    }
+
+    /**
+     * Holds one step of a history.
+     *
+     * @param action what happens
+     * @param choice which key, agent, plan or fault it happens to
+     * @param thenMillis time that passes afterwards, in milliseconds
+     */
+    record Step(Action action, int choice, int thenMillis) {}
+
+    @Provide
+    Arbitrary<List<Step>> histories() {
+        Arbitrary<Integer> millis = Arbitraries.oneOf(
+                Arbitraries.integers().between(0, 8), Arbitraries.integers().between(0, 900));
+        return Combinators.combine(
+                        Arbitraries.of(Action.class), Arbitraries.integers().between(0, 59), millis)
+                .as(Step::new)
+                .list()
+                .ofMinSize(4)
+                .ofMaxSize(40);
+    }
+
+    @Property(seed = "20261204", tries = 3000)
+    void everyHistoryKeepsTheInvariants(@ForAll("histories") List<Step> history) {
+        PipelineSettings settings = PipelineSettings.defaults("za").withHedgeDelay(Duration.ofMillis(30));
+        PipelineWorld world = new PipelineWorld(settings, null);
+        for (Step step : history) {
+            perform(world, step);
+            world.scheduler.advance(Duration.ofMillis(step.thenMillis()));
+        }
+        world.scheduler.advance(SETTLED);
+
+        runsAtMostOnce(world);
+        world.answers.forEach(answer -> answersOnceInTimeAndTruly(world, answer));
+        attemptsAreNeverSentTwiceNorExtended(world);
+        assertThat(world.entries).allSatisfy(entry -> assertThat(entry.inFlight).isZero());
+    }
+
+    private static void perform(PipelineWorld world, Step step) {
+        int choice = step.choice();
+        String key = "k" + choice % 2;
+        FakeAgent agent = world.agent(choice % world.agents.size());
+        switch (step.action()) {
+            case PAY_AT_FIRST -> world.submit(0, key, PAY);
+            case PAY_AT_SECOND -> world.submit(1, key, PAY);
+            case READ_AND_PAY -> world.submit(choice % 2, "r" + key, READ, PAY);
+            case LOSE_LINK ->
+                world.entries
+                        .get(choice % 2)
+                        .links
+                        .get(choice % world.agents.size())
+                        .lose();
+            case RESTORE_LINKS -> world.entries.forEach(entry -> entry.links.forEach(link -> link.up = true));
+            case RESTART_AGENT -> {
+                agent.restart();
+                world.entries.forEach(entry ->
+                        entry.links.stream().filter(link -> link.agent == agent).forEach(FakeAgentLink::lose));
+            }
+            case PLAN -> agent.plans.add(pick(FakeAgent.Plan.values(), choice));
+            case STORE_DOWN -> world.store.down = true;
+            case STORE_UP -> {
+                world.store.down = false;
+                world.store.latency = Duration.ofMillis(2);
+            }
+            case STORE_FAULT -> world.store.faults.add(pick(FakeClaimStore.Fault.values(), choice));
+            case STORE_SLOW -> world.store.latency = Duration.ofMillis(20L * choice);
+            default -> throw new IllegalStateException("unknown action: " + step.action());
+        }
+    }
+
+    private static <T> T pick(T[] values, int choice) {
+        return values[choice / 3 % values.length];
+    }
+
+    private static void runsAtMostOnce(PipelineWorld world) {
+        Map<Payload, Long> payments = world.executed.stream()
+                .filter(dispatch -> !dispatch.idempotent())
+                .collect(Collectors.groupingBy(StageDispatch::body, Collectors.counting()));
+        assertThat(payments)
+                .allSatisfy((body, count) -> assertThat(count).as(body.utf8()).isEqualTo(1));
+    }
+
+    private static void answersOnceInTimeAndTruly(PipelineWorld world, RecordedAnswer answer) {
+        PipelineRequest request = answer.request;
+        assertThat(answer.answers).as("answers to %s", request.requestId()).isEqualTo(1);
+        assertThat(answer.answeredNanos).isLessThanOrEqualTo(request.deadline().expiryNanos());
+        answer.failure().ifPresent(failure -> {
+            assertThat(failure.ran() == Ran.NO && world.ran(request, false))
+                    .as("not run: %s", failure)
+                    .isFalse();
+            assertThat(failure.effects() == Ran.NO && world.ran(request, true))
+                    .as("no effects: %s", failure)
+                    .isFalse();
+        });
+        Payload expected = request.body();
+        for (int i = 0; i < request.pipeline().stages().size(); i++) {
+            expected = FakeAgent.result(expected);
+        }
+        Payload whole = expected;
+        answer.result().ifPresent(result -> assertThat(result.output()).isEqualTo(whole));
+    }
+
+    private static void attemptsAreNeverSentTwiceNorExtended(PipelineWorld world) {
+        assertThat(world.dispatches()).extracting(StageDispatch::attempt).doesNotHaveDuplicates();
+        Map<String, PipelineRequest> requests = world.answers.stream()
+                .map(answer -> answer.request)
+                .collect(Collectors.toMap(PipelineRequest::requestId, Function.identity()));
+        long windowMicros = PipelineWorld.WINDOW.toNanos() / 1000;
+        assertThat(world.dispatches())
+                .allSatisfy(dispatch -> assertThat(dispatch.budgetMicros()).isBetween(1L, windowMicros))
+                .allSatisfy(dispatch -> assertThat(requests).containsKey(dispatch.requestId()));
+    }
+}
