Add the object API client, the configuration source and the claim store

Cause: entries read the configuration from the object API and keep claims in it. The API has outages, slow answers and answers lost after the write took effect, so the client must tell "no effect" from "effect not known".

Change: HttpChannel runs an ActiveJ client on an event loop of its own and ends each call as answered, not sent or lost. HttpObjectStore adds a rate budget and a circuit breaker that is closed again by probes with jittered backoff; lists and watches use connections of their own. ConfigSource lists and watches each configuration kind into the replica. StoreClaimStore keeps claims as objects; an unreadable claim counts as unavailable, never absent.

Ruled out: one watch over all kinds, because every claim write would wake every watch; letting calls act as probes, because a caller that first asks whether the store is available would then never close the breaker.

Conclusion: entry and test kit can build on these interfaces.

--- /dev/null
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/event/PlatformEvent.java
@@ -0,0 +1,46 @@
+package io.masticfold.platform.event;
+
+import io.masticfold.core.telemetry.LogEvent;
+import org.slf4j.event.Level;
+
+/** Lists the log events of the platform module. */
+public enum PlatformEvent implements LogEvent {
+    STORE_UNREACHABLE(3001, Level.WARN, "object API is unreachable after {} consecutive failures, next probe in {} ms"),
+    STORE_REACHABLE(3002, Level.INFO, "object API answers again"),
+    STORE_ANSWER_MALFORMED(3003, Level.WARN, "object API sent a malformed answer to {}: {}"),
+    CONFIG_LOADED(3010, Level.INFO, "configuration of kind {} loaded: {} objects, revision {}"),
+    CONFIG_OBJECT_REFUSED(3011, Level.WARN, "object {} version {} is not valid and is skipped: {}"),
+    CONFIG_COMPACTED(3012, Level.INFO, "history of kind {} since revision {} was compacted, listing again"),
+    CONFIG_REVISION_RESET(3013, Level.WARN, "object API went back from revision {} to {} for kind {}, listing again"),
+    CONFIG_UNREACHABLE(3014, Level.WARN, "configuration of kind {} cannot be read ({}), next try in {} ms"),
+    CONFIG_OBJECT_GONE(3015, Level.INFO, "object {} is gone from the object API, taken as deleted at revision {}"),
+    CLAIM_MALFORMED(3020, Level.ERROR, "claim {} version {} cannot be read: {}"),
+    CLAIMS_DELETED(3021, Level.INFO, "{} claims past retention deleted"),
+    LEASE_ACQUIRED(3030, Level.INFO, "lease {} acquired, fencing number {}"),
+    LEASE_LAPSED(3031, Level.WARN, "lease {} with fencing number {} lapsed: {}");
+
+    private final int number;
+    private final Level level;
+    private final String template;
+
+    PlatformEvent(int number, Level level, String template) {
+        this.number = number;
+        this.level = level;
+        this.template = template;
+    }
+
+    @Override
+    public int number() {
+        return number;
+    }
+
+    @Override
+    public Level level() {
+        return level;
+    }
+
+    @Override
+    public String template() {
+        return template;
+    }
+}
--- /dev/null
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/http/HttpChannel.java
@@ -0,0 +1,141 @@
+package io.masticfold.platform.http;
+
+import io.activej.common.MemSize;
+import io.activej.eventloop.Eventloop;
+import io.activej.http.HttpClient;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.masticfold.core.time.Scheduler;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+
+/**
+ * Makes HTTP calls from an event loop of its own. Each call ends exactly once: with the answer, as certainly not sent,
+ * or as lost. Calls may be made from any thread; results arrive on the event loop.
+ */
+public final class HttpChannel {
+
+    private static final Duration STOP_TIMEOUT = Duration.ofSeconds(5);
+
+    private final Eventloop eventloop;
+    private final Thread thread;
+    private final HttpClient client;
+    private final HttpLimits limits;
+    private final AtomicBoolean open = new AtomicBoolean();
+    private int inProgress;
+
+    /**
+     * Creates a channel.
+     *
+     * @param name name of the event loop's thread
+     * @param limits bounds of the channel
+     */
+    public HttpChannel(String name, HttpLimits limits) {
+        this.limits = limits;
+        this.eventloop = Eventloop.builder().withThreadName(name).build();
+        this.thread = new Thread(eventloop, name);
+        this.thread.setDaemon(true);
+        this.client = HttpClient.builder(eventloop, new NumericDnsClient())
+                .withConnectTimeout(limits.connectTimeout())
+                .withReadWriteTimeout(limits.answerTimeout())
+                .withMaxBodySize(MemSize.of(limits.maxBodyBytes()))
+                .withInspector(new ConnectInspector())
+                .withForcedShutdown(true)
+                .build();
+    }
+
+    /** Starts the event loop. */
+    public void start() {
+        eventloop.keepAlive(true);
+        open.set(true);
+        thread.start();
+    }
+
+    /** Closes all connections and stops the event loop; calls in progress end as lost. */
+    public void stop() {
+        if (!open.getAndSet(false)) {
+            return;
+        }
+        CompletableFuture<Void> closed = eventloop.submit(() -> {
+            client.stop();
+            eventloop.keepAlive(false);
+            eventloop.breakEventloop();
+        });
+        try {
+            closed.get(STOP_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+            thread.join(STOP_TIMEOUT.toMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            eventloop.breakEventloop();
+        }
+    }
+
+    /** Returns a scheduler that runs tasks on the event loop. */
+    public Scheduler scheduler() {
+        return new EventloopScheduler(eventloop);
+    }
+
+    /**
+     * Makes a call.
+     *
+     * @param timeout longest wait, after which the call ends as lost
+     * @param reply receives the result once, on the event loop
+     */
+    public void send(HttpCall call, Duration timeout, Consumer<HttpResult> reply) {
+        if (!open.get()) {
+            reply.accept(new HttpResult.NotSent("the channel is stopped"));
+            return;
+        }
+        eventloop.execute(() -> sendOnLoop(call, timeout, reply));
+    }
+
+    private void sendOnLoop(HttpCall call, Duration timeout, Consumer<HttpResult> reply) {
+        if (!open.get()) {
+            reply.accept(new HttpResult.NotSent("the channel is stopped"));
+            return;
+        }
+        if (inProgress >= limits.maxCalls()) {
+            reply.accept(new HttpResult.NotSent(limits.maxCalls() + " calls are in progress"));
+            return;
+        }
+        inProgress++;
+        Exchange exchange = new Exchange(reply);
+        exchange.timeOutAfter(eventloop, timeout);
+        HttpRequest request = request(call);
+        request.attach(Exchange.class, exchange);
+        client.request(request).then(this::answered).subscribe((result, exception) -> {
+            // A call that timed out for its caller still holds its connection, so it counts until here.
+            inProgress--;
+            exchange.end(exception == null ? result : exchange.failed(exception));
+        });
+    }
+
+    private Promise<HttpResult> answered(HttpResponse response) {
+        String retryAfter = response.getHeader(HttpHeaders.RETRY_AFTER);
+        return response.loadBody()
+                .map(body -> new HttpResult.Answered(
+                        response.getCode(),
+                        RetryAfterSupport.parse(retryAfter),
+                        body.getString(StandardCharsets.UTF_8)));
+    }
+
+    private static HttpRequest request(HttpCall call) {
+        String host = call.address().getAddress().getHostAddress();
+        String url = "http://" + host + ':' + call.address().getPort() + call.pathAndQuery();
+        HttpRequest.Builder builder = HttpRequest.builder(call.method(), url);
+        call.headers().forEach((name, value) -> builder.withHeader(HttpHeaders.of(name), value));
+        if (call.body() != null) {
+            builder.withBody(call.body().getBytes(StandardCharsets.UTF_8));
+        }
+        return builder.build();
+    }
+}
--- /dev/null
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/store/HttpObjectStore.java
@@ -0,0 +1,205 @@
+package io.masticfold.platform.store;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.activej.http.HttpMethod;
+import io.masticfold.core.telemetry.Telemetry;
+import io.masticfold.core.time.Scheduler;
+import io.masticfold.platform.event.PlatformEvent;
+import io.masticfold.platform.http.HttpCall;
+import io.masticfold.platform.http.HttpChannel;
+import io.masticfold.platform.http.HttpLimits;
+import io.masticfold.platform.http.HttpResult;
+import java.net.InetSocketAddress;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Uses the object API over HTTP. Reads and writes of single objects go through a rate budget and a circuit breaker,
+ * which answer {@code Unavailable} at once; lists and watches have connections of their own, so a slow list never
+ * delays a claim.
+ */
+public final class HttpObjectStore implements ObjectStore {
+
+    private static final Logger LOG = LoggerFactory.getLogger(HttpObjectStore.class);
+
+    private static final String OBJECTS = "/v1/objects/";
+    private static final String PROBE = OBJECTS + "zone/probe";
+    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration WATCH_MARGIN = Duration.ofSeconds(2);
+
+    private final InetSocketAddress address;
+    private final Telemetry telemetry;
+    private final HttpChannel calls;
+    private final HttpChannel watches;
+    private final Scheduler scheduler;
+    private final CircuitBreaker breaker;
+    private final CallBudget budget;
+    private final AtomicBoolean started = new AtomicBoolean();
+
+    /**
+     * Creates a client.
+     *
+     * @param address numeric address of the object API
+     * @param limits the process's share of the store's rates
+     * @param telemetry receives counters with the prefix {@code store_}
+     * @param random spreads the probes of several processes
+     */
+    public HttpObjectStore(InetSocketAddress address, StoreLimits limits, Telemetry telemetry, RandomGenerator random) {
+        this.address = address;
+        this.telemetry = telemetry;
+        this.calls = new HttpChannel("object-api-calls", HttpLimits.CALLS);
+        this.watches = new HttpChannel("object-api-watches", HttpLimits.WATCHES);
+        this.scheduler = calls.scheduler();
+        this.breaker = new CircuitBreaker(scheduler, random);
+        this.budget = new CallBudget(scheduler, limits.callsPerSecond(), limits.burst());
+    }
+
+    /** Starts the event loops. */
+    public void start() {
+        started.set(true);
+        calls.start();
+        watches.start();
+    }
+
+    /** Stops the event loops; calls in progress end as lost. */
+    public void stop() {
+        started.set(false);
+        watches.stop();
+        calls.stop();
+    }
+
+    /** Returns a scheduler that runs tasks on the event loop of the calls. */
+    public Scheduler scheduler() {
+        return scheduler;
+    }
+
+    @Override
+    public boolean available() {
+        return !breaker.open();
+    }
+
+    @Override
+    public Duration retryAfter() {
+        return breaker.retryAfter();
+    }
+
+    @Override
+    public void get(String kind, String name, Duration timeout, Consumer<StoreReply> reply) {
+        call(HttpCall.get(address, path(kind, name)), timeout, reply);
+    }
+
+    @Override
+    public void put(
+            String kind,
+            String name,
+            long expectedVersion,
+            String changeId,
+            String spec,
+            Duration timeout,
+            Consumer<StoreReply> reply) {
+        String body;
+        try {
+            body = EnvelopeSupport.update(changeId, spec);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("specification is not JSON: " + spec, e);
+        }
+        call(write(HttpMethod.PUT, path(kind, name), expectedVersion, body), timeout, reply);
+    }
+
+    @Override
+    public void delete(String kind, String name, long expectedVersion, Duration timeout, Consumer<StoreReply> reply) {
+        call(write(HttpMethod.DELETE, path(kind, name), expectedVersion, null), timeout, reply);
+    }
+
+    @Override
+    public void list(String kind, long since, Duration timeout, Consumer<PageReply> reply) {
+        String path = "/v1/objects?since=" + since + "&kind=" + encode(kind);
+        page(HttpCall.get(address, path), timeout, reply);
+    }
+
+    @Override
+    public void watch(String kind, long since, Duration wait, Consumer<PageReply> reply) {
+        String path = "/v1/watch?since=" + since + "&timeoutMillis=" + wait.toMillis() + "&kind=" + encode(kind);
+        page(HttpCall.get(address, path), wait.plus(WATCH_MARGIN), reply);
+    }
+
+    private void call(HttpCall call, Duration timeout, Consumer<StoreReply> reply) {
+        if (breaker.open()) {
+            telemetry.count("store_breaker_refused");
+            reply.accept(new StoreReply.Unavailable(breaker.retryAfter(), "the object API is unreachable"));
+            return;
+        }
+        Duration wait = budget.take();
+        if (!wait.isZero()) {
+            telemetry.count("store_budget_spent");
+            reply.accept(new StoreReply.Unavailable(wait, "the process's rate budget is spent"));
+            return;
+        }
+        telemetry.count("store_call");
+        calls.send(call, timeout, result -> reply.accept(classify(call, result)));
+    }
+
+    private StoreReply classify(HttpCall call, HttpResult result) {
+        StoreReply answer;
+        if (result instanceof HttpResult.Answered answered) {
+            answer = StoreAnswerSupport.reply(call, answered);
+        } else if (result instanceof HttpResult.NotSent notSent) {
+            answer = new StoreReply.Unavailable(Duration.ofSeconds(1), notSent.reason());
+        } else {
+            answer = new StoreReply.Lost(((HttpResult.Lost) result).reason());
+        }
+        telemetry.count(StoreAnswerSupport.counter(answer));
+        note(result);
+        return answer;
+    }
+
+    private void note(HttpResult result) {
+        if (StoreAnswerSupport.reached(result)) {
+            if (breaker.succeeded()) {
+                PlatformEvent.STORE_REACHABLE.log(LOG);
+            }
+        } else if (breaker.failed()) {
+            telemetry.count("store_breaker_opened");
+            PlatformEvent.STORE_UNREACHABLE.log(
+                    LOG, breaker.failures(), breaker.retryAfter().toMillis());
+            scheduler.schedule(breaker.retryAfter(), this::probe);
+        }
+    }
+
+    private void probe() {
+        if (!started.get() || !breaker.open()) {
+            return;
+        }
+        telemetry.count("store_probe");
+        calls.send(HttpCall.get(address, PROBE), PROBE_TIMEOUT, result -> {
+            note(result);
+            if (breaker.open()) {
+                scheduler.schedule(breaker.planProbe(), this::probe);
+            }
+        });
+    }
+
+    private void page(HttpCall call, Duration timeout, Consumer<PageReply> reply) {
+        telemetry.count("store_page");
+        watches.send(call, timeout, result -> reply.accept(StoreAnswerSupport.page(call, result)));
+    }
+
+    private HttpCall write(HttpMethod method, String path, long expectedVersion, String body) {
+        return new HttpCall(method, address, path, Map.of("If-Match", Long.toString(expectedVersion)), body);
+    }
+
+    private static String path(String kind, String name) {
+        return OBJECTS + encode(kind) + '/' + encode(name);
+    }
+
+    private static String encode(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/store/KindWatch.java
@@ -0,0 +1,158 @@
+package io.masticfold.platform.store;
+
+import io.masticfold.core.config.ConfigObject;
+import io.masticfold.core.config.ConfigReplica;
+import io.masticfold.core.model.ObjectKind;
+import io.masticfold.core.time.Scheduler;
+import io.masticfold.platform.event.PlatformEvent;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Lists and then watches one kind of configuration objects. At most one call is in progress at any time. */
+final class KindWatch {
+
+    private static final Logger LOG = LoggerFactory.getLogger(KindWatch.class);
+
+    /** A watch counts as a call while it waits; 10 s keeps that cost low and finds a dead connection soon enough. */
+    private static final Duration WATCH_WAIT = Duration.ofSeconds(10);
+
+    private static final Duration LIST_TIMEOUT = Duration.ofSeconds(10);
+    private static final Duration FIRST_RETRY = Duration.ofMillis(100);
+
+    /** A configuration must be in force within 3 s, so the longest pause after an outage stays well below. */
+    private static final Duration LONGEST_RETRY = Duration.ofSeconds(1);
+
+    private final ObjectKind kind;
+    private final ObjectStore store;
+    private final ObjectDecoder decoder;
+    private final ConfigReplica replica;
+    private final Scheduler scheduler;
+    private final Backoff backoff;
+    private final AtomicBoolean running = new AtomicBoolean();
+    private volatile boolean loaded;
+    private volatile boolean reachable;
+    private long revision;
+
+    KindWatch(
+            ObjectKind kind,
+            ObjectStore store,
+            ObjectDecoder decoder,
+            ConfigReplica replica,
+            Scheduler scheduler,
+            RandomGenerator random) {
+        this.kind = kind;
+        this.store = store;
+        this.decoder = decoder;
+        this.replica = replica;
+        this.scheduler = scheduler;
+        this.backoff = new Backoff(FIRST_RETRY, LONGEST_RETRY, random);
+    }
+
+    void start() {
+        if (!running.getAndSet(true)) {
+            list();
+        }
+    }
+
+    void stop() {
+        running.set(false);
+    }
+
+    boolean loaded() {
+        return loaded;
+    }
+
+    boolean reachable() {
+        return reachable;
+    }
+
+    private void list() {
+        if (running.get()) {
+            store.list(kind.code(), 0, LIST_TIMEOUT, this::listed);
+        }
+    }
+
+    private void watch() {
+        if (running.get()) {
+            store.watch(kind.code(), revision, WATCH_WAIT, this::watched);
+        }
+    }
+
+    private void catchUp() {
+        if (running.get()) {
+            store.list(kind.code(), revision, LIST_TIMEOUT, this::watched);
+        }
+    }
+
+    private void listed(PageReply reply) {
+        if (reply instanceof PageReply.Page page) {
+            accept(page);
+            mergeAbsent(page);
+            loaded = true;
+            PlatformEvent.CONFIG_LOADED.log(LOG, kind.code(), page.objects().size(), page.revision());
+            watch();
+        } else {
+            // A full list cannot be compacted, so that answer counts as a failure here.
+            retryLater(reply, this::list);
+        }
+    }
+
+    private void watched(PageReply reply) {
+        if (reply instanceof PageReply.Page page && page.revision() >= revision) {
+            accept(page);
+            watch();
+        } else if (reply instanceof PageReply.Page page) {
+            PlatformEvent.CONFIG_REVISION_RESET.log(LOG, revision, page.revision(), kind.code());
+            list();
+        } else if (reply instanceof PageReply.Compacted) {
+            PlatformEvent.CONFIG_COMPACTED.log(LOG, kind.code(), revision);
+            list();
+        } else {
+            // A list answers at once, so the source knows within a round trip whether the store is back.
+            retryLater(reply, this::catchUp);
+        }
+    }
+
+    private void accept(PageReply.Page page) {
+        reachable = true;
+        backoff.reset();
+        revision = page.revision();
+        List<ConfigObject> objects = page.objects().stream()
+                .filter(object -> object.kind().equals(kind.code()))
+                .map(object -> decoder.decode(kind, object))
+                .flatMap(Optional::stream)
+                .toList();
+        replica.merge(objects);
+    }
+
+    /**
+     * Merges tombstones for objects that a full list no longer has, because their deletion was compacted. The revision
+     * of the list is above every version the object had and below every version it will have, so it orders correctly.
+     */
+    private void mergeAbsent(PageReply.Page page) {
+        Set<String> present = page.objects().stream().map(StoredObject::name).collect(Collectors.toSet());
+        List<ConfigObject> gone = replica.snapshot().objects().stream()
+                .filter(object -> object.key().kind() == kind && !object.deleted())
+                .filter(object -> !present.contains(object.key().name()) && object.version() < page.revision())
+                .map(object -> new ConfigObject(object.key(), page.revision(), "compacted", null))
+                .toList();
+        gone.forEach(object -> PlatformEvent.CONFIG_OBJECT_GONE.log(LOG, object.key(), page.revision()));
+        replica.merge(gone);
+    }
+
+    private void retryLater(PageReply reply, Runnable next) {
+        Duration delay = backoff.next();
+        if (reachable || !loaded) {
+            PlatformEvent.CONFIG_UNREACHABLE.log(LOG, kind.code(), reply, delay.toMillis());
+        }
+        reachable = false;
+        scheduler.schedule(delay, next);
+    }
+}
--- /dev/null
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/store/StoreAnswerSupport.java
@@ -0,0 +1,98 @@
+package io.masticfold.platform.store;
+
+import io.activej.http.HttpMethod;
+import io.masticfold.platform.event.PlatformEvent;
+import io.masticfold.platform.http.HttpCall;
+import io.masticfold.platform.http.HttpResult;
+import java.io.IOException;
+import java.time.Duration;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Maps HTTP results of the object API to replies. */
+final class StoreAnswerSupport {
+
+    private static final Logger LOG = LoggerFactory.getLogger(StoreAnswerSupport.class);
+
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+    private static final int CONFLICT = 409;
+    private static final int GONE = 410;
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final int SERVER_ERROR = 500;
+    private static final int UNAVAILABLE = 503;
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+    private StoreAnswerSupport() {}
+
+    /** Returns whether the store is up: it answered, and not that it is unavailable. */
+    static boolean reached(HttpResult result) {
+        return result instanceof HttpResult.Answered answered && answered.status() < SERVER_ERROR;
+    }
+
+    static StoreReply reply(HttpCall call, HttpResult.Answered answered) {
+        try {
+            return switch (answered.status()) {
+                case OK -> ok(call, answered.body());
+                case NOT_FOUND -> new StoreReply.Absent();
+                case CONFLICT -> new StoreReply.Conflict(current(answered.body()));
+                case TOO_MANY_REQUESTS, UNAVAILABLE ->
+                    new StoreReply.Unavailable(answered.retryAfter(), "answered " + answered.status());
+                default -> other(answered);
+            };
+        } catch (IOException e) {
+            PlatformEvent.STORE_ANSWER_MALFORMED.log(LOG, call, e.getMessage());
+            return new StoreReply.Lost("malformed answer: " + e.getMessage());
+        }
+    }
+
+    static PageReply page(HttpCall call, HttpResult result) {
+        if (result instanceof HttpResult.NotSent notSent) {
+            return new PageReply.Unavailable(RETRY_AFTER, notSent.reason());
+        } else if (result instanceof HttpResult.Lost lost) {
+            return new PageReply.Unavailable(RETRY_AFTER, lost.reason());
+        }
+        HttpResult.Answered answered = (HttpResult.Answered) result;
+        if (answered.status() == GONE) {
+            return new PageReply.Compacted();
+        } else if (answered.status() != OK) {
+            return new PageReply.Unavailable(answered.retryAfter(), "answered " + answered.status());
+        }
+        try {
+            return EnvelopeSupport.page(answered.body());
+        } catch (IOException e) {
+            PlatformEvent.STORE_ANSWER_MALFORMED.log(LOG, call, e.getMessage());
+            return new PageReply.Unavailable(RETRY_AFTER, "malformed answer: " + e.getMessage());
+        }
+    }
+
+    static String counter(StoreReply reply) {
+        if (reply instanceof StoreReply.Conflict) {
+            return "store_conflict";
+        } else if (reply instanceof StoreReply.Unavailable) {
+            return "store_unavailable";
+        } else if (reply instanceof StoreReply.Lost) {
+            return "store_lost";
+        }
+        return reply instanceof StoreReply.Refused ? "store_refused" : "store_answered";
+    }
+
+    private static StoreReply ok(HttpCall call, String body) throws IOException {
+        return call.method() == HttpMethod.GET
+                ? new StoreReply.Found(EnvelopeSupport.object(body))
+                : new StoreReply.Written(EnvelopeSupport.version(body));
+    }
+
+    private static StoreReply other(HttpResult.Answered answered) {
+        // A server error other than 503 does not say whether the write took effect.
+        return answered.status() >= SERVER_ERROR
+                ? new StoreReply.Lost("answered " + answered.status())
+                : new StoreReply.Refused(answered.status(), answered.body());
+    }
+
+    private static @Nullable StoredObject current(String body) throws IOException {
+        String text = body.trim();
+        return text.isEmpty() || "null".equals(text) || "{}".equals(text) ? null : EnvelopeSupport.object(text);
+    }
+}
