Log turns to cold and faults of listeners at the gate

Cause: a listener or target client that throws was only counted, so its fault could not be found; a turn to cold matters to operators.

A turn to cold is logged and counted only when the limit falls, not for each cold report of a target that is cold already.

Ruled out: one enum per package; events are numbered per module.

--- a/masticfold-core/src/main/java/io/masticfold/core/gate/AgentGate.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/gate/AgentGate.java
@@ -18,6 +18,7 @@
 import io.masticfold.core.link.StageHandler;
 import io.masticfold.core.link.StageListener;
 import io.masticfold.core.model.Contract;
+import io.masticfold.core.telemetry.CoreEvent;
 import io.masticfold.core.telemetry.Telemetry;
 import io.masticfold.core.time.Deadline;
 import io.masticfold.core.time.Scheduler;
@@ -29,6 +30,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Admits attempts to the one target beside the agent. Only the gate sees the work of all entries, so it alone enforces
@@ -39,6 +42,7 @@
  */
 public final class AgentGate implements StageHandler {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(AgentGate.class);
     private static final Duration MAX_BUDGET = Duration.ofMillis(Contract.MAX_WINDOW_MILLIS);
 
     private final Object lock = new Object();
@@ -295,6 +299,7 @@
             run.call().attach(client.call(run.dispatch(), allowed, run));
         } catch (RuntimeException e) {
             telemetry.count("target_client_failed");
+            CoreEvent.TARGET_CLIENT_FAILED.log(LOGGER, run.attempt(), e);
             failed(run, ErrorKind.INTERNAL, Ran.UNKNOWN);
         }
     }
@@ -372,7 +377,10 @@
 
     private void noteCold(boolean turned, List<Runnable> after) {
         if (turned) {
-            after.add(() -> telemetry.count("target_turned_cold"));
+            after.add(() -> {
+                telemetry.count("target_turned_cold");
+                CoreEvent.TARGET_TURNED_COLD.log(LOGGER, settings.target(), load.limit());
+            });
         }
     }
 
--- a/masticfold-core/src/main/java/io/masticfold/core/gate/ColdRamp.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/gate/ColdRamp.java
@@ -58,7 +58,7 @@
      *
      * @param started value of {@link #epoch()} when the call started
      * @param nanos service time, in nanoseconds
-     * @return whether the call turned the target cold
+     * @return whether the limit fell back to the cold bound
      */
     boolean served(long started, long nanos, long nowNanos, GateBounds bounds) {
         if (started != epoch) {
@@ -76,22 +76,24 @@
         return false;
     }
 
-    /** Takes a call that timed out; returns whether it turned the target cold. */
+    /** Takes a call that timed out; returns whether the limit fell. */
     boolean timedOut(long started, long nanos, long nowNanos) {
         return started == epoch && baseline.slow(nanos) && slow(nowNanos);
     }
 
-    /** Turns the target cold. */
-    void turnCold(long nowNanos) {
+    /** Turns the target cold; returns whether the limit fell. */
+    boolean turnCold(long nowNanos) {
+        boolean fell = grown > 0;
         epoch++;
         grown = 0;
         slowInARow = 0;
         reportedFit = false;
         turnedNanos = nowNanos;
         waitFromNanos = nowNanos;
+        return fell;
     }
 
-    /** Takes a load report; returns whether it turned the target cold. */
+    /** Takes a load report; returns whether the limit fell. */
     boolean report(TargetReport report, long nowNanos) {
         long takenNanos = nowNanos - report.ageMillis() * NANOS_PER_MILLI;
         BootHistory.Verdict verdict = boots.take(report.bootId(), takenNanos);
@@ -100,13 +102,10 @@
         }
         boolean cold = report.temperature() == Temperature.COLD;
         boolean afterLastTurn = takenNanos - turnedNanos >= 0;
-        boolean turns = cold || verdict.restarted();
-        if (turns) {
-            turnCold(nowNanos);
-        }
+        boolean fell = (cold || verdict.restarted()) && turnCold(nowNanos);
         waitFromNanos = nowNanos;
         reportedFit = !cold && (reportedFit || (verdict.current() && afterLastTurn));
-        return turns;
+        return fell;
     }
 
     private boolean slow(long nowNanos) {
@@ -114,8 +113,7 @@
         if (slowInARow < SLOW_IN_A_ROW) {
             return false;
         }
-        turnCold(nowNanos);
-        return true;
+        return turnCold(nowNanos);
     }
 
     private boolean mayGrow(long nowNanos) {
--- a/masticfold-core/src/main/java/io/masticfold/core/gate/GateActions.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/gate/GateActions.java
@@ -1,9 +1,12 @@
 package io.masticfold.core.gate;
 
+import io.masticfold.core.telemetry.CoreEvent;
 import io.masticfold.core.telemetry.Telemetry;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Runs what was decided under the gate's lock after the lock is released: calls to the target and to listeners. Actions
@@ -11,6 +14,7 @@
  */
 final class GateActions {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(GateActions.class);
     private static final ThreadLocal<Deque<Runnable>> RUNNING = new ThreadLocal<>();
 
     private final Telemetry telemetry;
@@ -47,6 +51,7 @@
             action.run();
         } catch (RuntimeException e) {
             telemetry.count("gate_action_failed");
+            CoreEvent.GATE_ACTION_FAILED.log(LOGGER, e);
         }
     }
 }
--- a/masticfold-core/src/main/java/io/masticfold/core/gate/GateLimits.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/gate/GateLimits.java
@@ -46,7 +46,7 @@
         return (long) meanNanos;
     }
 
-    /** Takes the end of a call that succeeded; returns whether it turned the target cold. */
+    /** Takes the end of a call that succeeded; returns whether the limit fell back to the cold bound. */
     boolean served(CallTimes call, int inFlight, GateBounds bounds) {
         long nanos = call.elapsedNanos();
         meanNanos += (meanNanos == 0 ? 1 : MEAN_WEIGHT) * (nanos - meanNanos);
@@ -56,11 +56,10 @@
         return ramp.served(call.epoch(), nanos, call.endNanos(), bounds);
     }
 
-    /** Takes the end of a call that failed; returns whether it turned the target cold. */
+    /** Takes the end of a call that failed; returns whether the limit fell back to the cold bound. */
     boolean failed(CallTimes call, ErrorKind kind, GateBounds bounds) {
         if (COLD_SIGNS.contains(kind)) {
-            ramp.turnCold(call.endNanos());
-            return true;
+            return ramp.turnCold(call.endNanos());
         }
         if (OVERLOAD_SIGNS.contains(kind)) {
             adaptive.overloaded(bounds);
@@ -68,7 +67,7 @@
         return kind == ErrorKind.STAGE_TIMEOUT && ramp.timedOut(call.epoch(), call.elapsedNanos(), call.endNanos());
     }
 
-    /** Takes a load report; returns whether it turned the target cold. */
+    /** Takes a load report; returns whether the limit fell back to the cold bound. */
     boolean report(TargetReport report, long nowNanos) {
         return ramp.report(report, nowNanos);
     }
