Interrupt starts of attempts in the random histories

Cause: a mutant of the gate without the check of the limit directly before the call survived all tests: no test let the limit fall between the decision to start an attempt and its call.

Change: in the histories a third of the outcomes trigger a report, a restart of the target, a pause, a cancel or a change of configuration, which then fall into that gap. A test names the case: a cold report arrives in the gap, and the attempt goes back to the queue.

Ruled out: calling the gate's inner methods from tests.

Conclusion: the last checks before the call are covered from outside.

--- a/masticfold-core/src/test/java/io/masticfold/core/gate/AgentGateTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/gate/AgentGateTests.java
@@ -10,12 +10,14 @@
 import io.masticfold.core.attempt.StageDispatch;
 import io.masticfold.core.attempt.StageFailed;
 import io.masticfold.core.attempt.StageRefused;
+import io.masticfold.core.attempt.Temperature;
 import io.masticfold.core.error.ErrorKind;
 import io.masticfold.core.error.Ran;
 import io.masticfold.core.model.TargetState;
 import io.masticfold.core.model.Zone;
 import io.masticfold.core.model.ZoneState;
 import java.time.Duration;
+import java.util.List;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -165,7 +167,7 @@
         StageDispatch first = fixture.read();
         StageDispatch second = fixture.payment();
         // The listener of the first attempt runs between the decision to start the second and its call.
-        fixture.gate().dispatch(first, new InterruptingListener(() -> interrupt(kind, second)));
+        fixture.gate().dispatch(first, new RecordingListener(() -> interrupt(kind, second)));
         RecordingListener listener = fixture.send(second);
 
         target.complete(first.attempt(), "out");
@@ -190,6 +192,31 @@
         }
     }
 
+    @Test
+    void aLimitThatFallsBeforeTheCallPutsTheAttemptBackInTheQueue() {
+        fixture.report("b1", Temperature.WARM, 0);
+        for (int i = 0; i < 4; i++) {
+            StageDispatch warming = fixture.read();
+            fixture.send(warming);
+            target.complete(warming.attempt(), "out");
+        }
+        StageDispatch first = fixture.read();
+        fixture.gate().dispatch(first, new RecordingListener(() -> fixture.report("b1", Temperature.COLD, 0)));
+        List<StageDispatch> running = Stream.generate(fixture::read).limit(3).toList();
+        running.forEach(fixture::send);
+        StageDispatch waiting = fixture.payment();
+        RecordingListener listener = fixture.send(waiting);
+
+        target.complete(first.attempt(), "out");
+
+        assertThat(target.executions()).doesNotContain(waiting.attempt());
+        assertThat(fixture.gate().load().queued()).isEqualTo(1);
+        assertThat(fixture.gate().inFlight()).isEqualTo(3);
+        running.forEach(run -> target.complete(run.attempt(), "out"));
+        target.complete(waiting.attempt(), "out");
+        assertThat(listener.outcomes()).hasSize(1).first().isInstanceOf(StageCompleted.class);
+    }
+
     @Test
     void sealSettlesEveryStateOfAnAttempt() {
         StageDispatch payment = fixture.payment();
--- a/masticfold-core/src/test/java/io/masticfold/core/gate/GateHistory.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/gate/GateHistory.java
@@ -26,6 +26,17 @@
     private static final ErrorKind[] FAILURES = {
         ErrorKind.TARGET_UNREACHABLE, ErrorKind.TARGET_FAILED, ErrorKind.STAGE_TIMEOUT, ErrorKind.OVERLOADED
     };
+
+    /** Steps that may come between the decision to start an attempt and its call. */
+    private static final GateStep.Action[] INTERRUPTIONS = {
+        GateStep.Action.REPORT,
+        GateStep.Action.PAUSE,
+        GateStep.Action.ZONE,
+        GateStep.Action.TARGET,
+        GateStep.Action.CANCEL,
+        GateStep.Action.REBOOT
+    };
+
     private static final Incarnation[] ENTRIES = {new Incarnation(10, 1), new Incarnation(20, 2), new Incarnation(15, 3)
     };
     private static final long REPORT_PATIENCE_NANOS = ColdRamp.REPORT_PATIENCE.toNanos();
@@ -129,7 +140,14 @@
 
     private void send(StageDispatch dispatch) {
         sent.add(dispatch);
-        RecordingListener listener = new RecordingListener();
+        int index = sent.size();
+        GateStep.Action action = INTERRUPTIONS[index % INTERRUPTIONS.length];
+        Incarnation sender = agent;
+        RecordingListener listener = new RecordingListener(() -> {
+            if (index % 3 == 0 && sender.equals(agent)) {
+                play(new GateStep(action, index * 7 % 100, index * 13 % 100));
+            }
+        });
         listeners.add(listener);
         fixture.gate().dispatch(dispatch, listener);
     }
--- a/masticfold-core/src/test/java/io/masticfold/core/gate/RecordingListener.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/gate/RecordingListener.java
@@ -7,12 +7,21 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Records what the gate answers to one dispatch. */
+/** Records what the gate answers to one dispatch, and runs an action when the outcome arrives. */
 final class RecordingListener implements StageListener {
 
+    private final Runnable onOutcome;
+
     private final List<StageOutcome> outcomes = new ArrayList<>();
     private final List<String> chunks = new ArrayList<>();
-    private TargetLoad load = TargetLoad.UNKNOWN;
+
+    RecordingListener(Runnable onOutcome) {
+        this.onOutcome = onOutcome;
+    }
+
+    RecordingListener() {
+        this(() -> {});
+    }
 
     @Override
     public void chunk(long offset, Payload bytes) {
@@ -20,13 +29,9 @@
     }
 
     @Override
-    public void outcome(StageOutcome outcome, TargetLoad loadAfter) {
+    public void outcome(StageOutcome outcome, TargetLoad _load) {
         outcomes.add(outcome);
-        load = loadAfter;
-    }
-
-    TargetLoad load() {
-        return load;
+        onOutcome.run();
     }
 
     List<StageOutcome> outcomes() {
