--- a/masticfold-core/src/main/java/io/masticfold/core/routing/DefaultRouter.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/routing/DefaultRouter.java
@@ -48,6 +48,7 @@
      *
      * @param config supplies the configuration in force
      * @param links finds the links to the agents
+     * @param strategy the way to choose
      * @param settings the settings
      * @param time the time source
      * @param random the random source; must be safe for use by several threads
@@ -56,11 +57,12 @@
     public static DefaultRouter create(
             Supplier<ConfigSnapshot> config,
             AgentLinks links,
+            RoutingStrategy strategy,
             RouterSettings settings,
             TimeSource time,
             RandomGenerator random,
             PoolSignals signals) {
-        return new DefaultRouter(config, links, settings, new ExpectedTimePolicy(settings, random), time, signals);
+        return new DefaultRouter(config, links, settings, strategy.policy(settings, random), time, signals);
     }
 
     @Override
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/routing/RoutingStrategy.java
@@ -0,0 +1,36 @@
+package io.masticfold.core.routing;
+
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.random.RandomGenerator;
+
+/** Lists the ways to choose a target; all but {@link #EXPECTED_TIME} serve as baselines for comparison. */
+public enum RoutingStrategy {
+    /** Zone preference, prefix affinity and the better of two random choices by expected time. */
+    EXPECTED_TIME {
+        @Override
+        RoutingPolicy policy(RouterSettings settings, RandomGenerator random) {
+            return new ExpectedTimePolicy(settings, random);
+        }
+    },
+    /** Each candidate in turn. */
+    ROUND_ROBIN {
+        @Override
+        RoutingPolicy policy(RouterSettings _settings, RandomGenerator _random) {
+            AtomicInteger next = new AtomicInteger();
+            return (candidates, _request) -> candidates.get(Math.floorMod(next.getAndIncrement(), candidates.size()));
+        }
+    },
+    /** The candidate with the fewest attempts of this entry in flight. */
+    LEAST_IN_FLIGHT {
+        @Override
+        RoutingPolicy policy(RouterSettings _settings, RandomGenerator _random) {
+            return (candidates, _request) -> Collections.min(
+                    candidates,
+                    Comparator.comparingInt(candidate -> candidate.stats().ownInFlight()));
+        }
+    };
+
+    abstract RoutingPolicy policy(RouterSettings settings, RandomGenerator random);
+}
--- a/masticfold-core/src/main/java/io/masticfold/core/routing/TargetStats.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/routing/TargetStats.java
@@ -71,6 +71,11 @@
         return report.load();
     }
 
+    /** Returns the attempts of this entry in flight. */
+    int ownInFlight() {
+        return inFlight.get();
+    }
+
     /** Returns the estimated work at the target: what it last reported, and what this entry has sent since. */
     int work() {
         Report last = report;
--- a/masticfold-entry/src/main/java/io/masticfold/entry/EntryEvent.java
+++ b/masticfold-entry/src/main/java/io/masticfold/entry/EntryEvent.java
@@ -6,7 +6,7 @@
 /** Lists the numbered log events of the entry, 5000 to 5999. */
 public enum EntryEvent implements LogEvent {
     STARTED(5000, Level.INFO, "entry {} serves callers on {} and operators on {}"),
-    CONFIGURATION_IN_FORCE(5001, Level.INFO, "configuration revision {} is in force"),
+    CONFIGURATION_IN_FORCE(5001, Level.INFO, "entry {}: configuration revision {} is in force"),
     DRAINING(5002, Level.INFO, "stop requested; readiness is off, requests are taken for another {} ms"),
     REFUSING(5003, Level.INFO, "new requests are refused; {} requests are in progress"),
     STOPPED(5004, Level.INFO, "entry {} stopped with {} requests in progress"),
--- /dev/null
+++ b/masticfold-entry/src/main/java/io/masticfold/entry/EntryQuota.java
@@ -0,0 +1,67 @@
+package io.masticfold.entry;
+
+import io.masticfold.core.limit.QuotaClient;
+import io.masticfold.core.time.Cancellable;
+import io.masticfold.core.time.Scheduler;
+import io.masticfold.wire.QuotaExchange;
+import io.masticfold.wire.WireIdentity;
+import io.masticfold.wire.WorkspaceDemand;
+import io.masticfold.wire.WorkspaceShare;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Connects the heartbeats of an entry's links with its quota client: reports each workspace's demand to the agent that
+ * coordinates it and takes the shares that come back.
+ */
+final class EntryQuota implements QuotaExchange {
+
+    private static final Duration REPORT_INTERVAL = Duration.ofMillis(500);
+
+    private final QuotaClient client;
+    private final Map<String, Integer> entriesSeenByAgent = new ConcurrentHashMap<>();
+    private volatile Map<String, List<io.masticfold.core.limit.WorkspaceDemand>> demandByAgent = Map.of();
+    private volatile Cancellable next = Cancellable.NONE;
+
+    EntryQuota(QuotaClient client) {
+        this.client = client;
+    }
+
+    /** Measures the demand now and at every report interval from now on. */
+    void start(Scheduler scheduler) {
+        demandByAgent = client.report(entriesSeenByAgent.keySet());
+        next = scheduler.schedule(REPORT_INTERVAL, () -> start(scheduler));
+    }
+
+    void stop() {
+        next.cancel();
+    }
+
+    @Override
+    public List<WorkspaceDemand> demand(WireIdentity peer) {
+        return demandByAgent.getOrDefault(peer.process(), List.of()).stream()
+                .map(demand -> new WorkspaceDemand(demand.workspace(), demand.perSecond(), demand.limitPerSecond()))
+                .toList();
+    }
+
+    @Override
+    public void received(
+            WireIdentity peer, List<WorkspaceDemand> _demand, List<WorkspaceShare> shares, int connectedEntries) {
+        entriesSeenByAgent.put(peer.process(), connectedEntries);
+        int entries = entriesSeenByAgent.values().stream()
+                .mapToInt(Integer::intValue)
+                .max()
+                .orElse(1);
+        client.entries(entries);
+        client.receive(shares.stream()
+                .map(share -> new io.masticfold.core.limit.WorkspaceShare(share.workspace(), share.requestsPerSecond()))
+                .toList());
+    }
+
+    @Override
+    public void lost(WireIdentity peer) {
+        entriesSeenByAgent.remove(peer.process());
+    }
+}
