Test the retry budget and the reassembly of streams

Cause: both were committed without tests of their own.

Change: cases and properties for the bound of the budget and for order, wholeness, bounds and cuts of streams.

Ruled out: nothing.

Conclusion: both parts behave as their doc comments say.

--- /dev/null
+++ b/masticfold-core/src/test/java/io/masticfold/core/retry/DefaultRetryBudgetTests.java
@@ -0,0 +1,71 @@
+package io.masticfold.core.retry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.masticfold.core.time.ManualScheduler;
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Tag;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against retries that outgrow a tenth of the first attempts. */
+final class DefaultRetryBudgetTests {
+
+    private static final RetrySettings SETTINGS = new RetrySettings(10, Duration.ofSeconds(1));
+
+    private final ManualScheduler time = new ManualScheduler();
+    private final DefaultRetryBudget budget = new DefaultRetryBudget(time, SETTINGS);
+
+    @ParameterizedTest
+    @CsvSource({"0, 1", "9, 1", "10, 2", "100, 11", "5000, 11"})
+    void grantsATenthUpToTheBalanceAndOneUnearned(int firstAttempts, int retries) {
+        earn(firstAttempts);
+
+        assertThat(spend(100)).isEqualTo(retries);
+    }
+
+    @Test
+    void grantsOneUnearnedRetryPerInterval() {
+        assertThat(spend(5)).isEqualTo(1);
+        time.advance(Duration.ofMillis(999));
+        assertThat(spend(5)).isZero();
+        time.advance(Duration.ofMillis(1));
+        assertThat(spend(5)).isEqualTo(1);
+    }
+
+    /** Guards the bound over any mix: a tenth of the first attempts and one per interval begun. */
+    @Property(seed = "20261204", tries = 500)
+    @Tag("property")
+    void neverExceedsTheBound(@ForAll @Size(max = 200) List<@IntRange(max = 20) Integer> steps) {
+        ManualScheduler clock = new ManualScheduler();
+        DefaultRetryBudget mixed = new DefaultRetryBudget(clock, SETTINGS);
+        long earned = 0;
+        long spent = 0;
+        for (int step : steps) {
+            if (step < 10) {
+                mixed.earn();
+                earned++;
+            } else {
+                spent += mixed.spend() ? 1 : 0;
+            }
+            clock.advance(Duration.ofMillis(step));
+        }
+        long intervals = clock.nanoTime() / SETTINGS.minimumInterval().toNanos() + 1;
+        assertThat(spent).isLessThanOrEqualTo(earned / 10 + intervals);
+    }
+
+    private void earn(int times) {
+        IntStream.range(0, times).forEach(_i -> budget.earn());
+    }
+
+    private long spend(int times) {
+        return IntStream.range(0, times).filter(_i -> budget.spend()).count();
+    }
+}
--- /dev/null
+++ b/masticfold-core/src/test/java/io/masticfold/core/stream/StreamReassemblerTests.java
@@ -0,0 +1,114 @@
+package io.masticfold.core.stream;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.masticfold.core.attempt.Payload;
+import io.masticfold.core.error.ErrorKind;
+import io.masticfold.core.error.MasticfoldException;
+import java.util.Arrays;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Tag;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards the order and wholeness of streams: no byte twice, no gap, no cut stream taken for a finished one. */
+final class StreamReassemblerTests {
+
+    private final StringBuilder seen = new StringBuilder();
+    private final StreamReassembler stream = new StreamReassembler((offset, bytes) -> {
+        assertThat(offset).isEqualTo(seen.length());
+        seen.append(bytes.utf8());
+    });
+
+    @ParameterizedTest
+    @CsvSource({
+        "0:ab 2:cd, 4, abcd, true",
+        "2:cd 0:ab, 4, abcd, true",
+        "0:ab 0:ab 1:bcd 3:d, 4, abcd, true",
+        "2:c 2:cd 1:bc 0:a, 4, abcd, true",
+        "0:ab 3:d, 4, ab, false",
+        "0:ab, 4, ab, false"
+    })
+    void passesEachByteOnceAndInOrder(String parts, long total, String expected, boolean complete)
+            throws MasticfoldException {
+        for (String part : parts.split(" ")) {
+            stream.part(Long.parseLong(part.substring(0, 1)), Payload.ofUtf8(part.substring(2)));
+        }
+        assertThat(stream.complete()).as("before the end mark").isFalse();
+        stream.end(total);
+
+        assertThat(seen).hasToString(expected);
+        assertThat(stream.complete()).isEqualTo(complete);
+    }
+
+    @Test
+    void resumesWithoutThePartsBehindTheCut() throws MasticfoldException {
+        stream.part(0, Payload.ofUtf8("ab"));
+        stream.part(3, Payload.ofUtf8("x"));
+        stream.dropPending();
+        stream.part(stream.delivered(), Payload.ofUtf8("cd"));
+        stream.end(4);
+
+        assertThat(seen).hasToString("abcd");
+        assertThat(stream.complete()).isTrue();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 5, PROTOCOL_VIOLATION", "-1, 2, PROTOCOL_VIOLATION", "16777216, 1, PROTOCOL_VIOLATION"})
+    void refusesPartsOutsideTheStream(long offset, int size, ErrorKind kind) throws MasticfoldException {
+        stream.end(4);
+
+        assertThatThrownBy(() -> stream.part(offset, Payload.wrap(new byte[size])))
+                .isInstanceOfSatisfying(MasticfoldException.class, refused -> assertThat(refused.kind())
+                        .isEqualTo(kind));
+    }
+
+    @Test
+    void refusesAnEndThatContradictsTheParts() throws MasticfoldException {
+        stream.part(2, Payload.ofUtf8("cd"));
+
+        assertThatThrownBy(() -> stream.end(3)).isInstanceOf(MasticfoldException.class);
+        stream.end(4);
+        assertThatThrownBy(() -> stream.end(5)).isInstanceOf(MasticfoldException.class);
+    }
+
+    @Test
+    void boundsWhatWaitsBehindAGap() throws MasticfoldException {
+        stream.part(1, Payload.wrap(new byte[StreamReassembler.MAX_PENDING_BYTES]));
+
+        assertThatThrownBy(() -> stream.part(StreamReassembler.MAX_PENDING_BYTES + 1L, Payload.ofUtf8("x")))
+                .isInstanceOfSatisfying(MasticfoldException.class, refused -> assertThat(refused.kind())
+                        .isEqualTo(ErrorKind.QUEUE_FULL));
+    }
+
+    /** Guards wholeness over random cuts, orders and repeats of a stream's parts. */
+    @Property(seed = "20261204", tries = 500)
+    @Tag("property")
+    void anyOrderGivesTheWholeStream(
+            @ForAll @Size(max = 200) byte[] whole, @ForAll @IntRange(min = 1, max = 50) int parts, @ForAll long seed)
+            throws MasticfoldException {
+        StreamReassembler any = new StreamReassembler((_offset, _bytes) -> {});
+        Random random = new Random(seed);
+        for (int i = 0; i < parts; i++) {
+            int start = random.nextInt(whole.length + 1);
+            any.part(start, slice(whole, start, start + random.nextInt(whole.length - start + 1)));
+        }
+        any.end(whole.length);
+        assertThat(any.complete()).isEqualTo(any.delivered() == whole.length);
+        int half = whole.length / 2;
+        any.part(half, slice(whole, half, whole.length));
+        any.part(0, slice(whole, 0, half));
+        assertThat(any.content()).isEqualTo(Payload.wrap(whole));
+        assertThat(any.complete()).isTrue();
+    }
+
+    private static Payload slice(byte[] whole, int start, int end) {
+        return Payload.wrap(Arrays.copyOfRange(whole, start, end));
+    }
+}
