Let the last of several racing entries run a non-idempotent stage

Cause: two entries that took the same request at the same instant sealed each other's attempts; one answered "sealed, not run" after all three targets were tried although the other completed.

Change: an entry whose attempt another run sealed answers in_progress with execution unknown and does not take the claim back.

Ruled out: a bounded contest for the claim, which costs store writes and targets and still may end without a run.

Conclusion: in a race one entry runs the stage and the others answer in_progress.

--- a/masticfold-core/src/main/java/io/masticfold/core/pipeline/ClaimedStageRun.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/pipeline/ClaimedStageRun.java
@@ -24,7 +24,8 @@
 
 /**
  * Runs a non-idempotent stage. No attempt is dispatched before the claim store names it, and another attempt follows
- * only one that is known not to have run.
+ * only one that is known not to have run. When several entries run the same request, the last one to take the claim
+ * runs the stage and the others answer that it is in progress.
  */
 final class ClaimedStageRun extends AbstractStageRun {
 
@@ -185,6 +186,12 @@
             complete(attempt, completed);
             return;
         }
+        if (kind(outcome) == ErrorKind.SEALED) {
+            // Another run of the same request sealed the attempt to run the stage itself. Taking the claim back would
+            // make the two seal each other's attempts until neither has a target left.
+            failInProgress();
+            return;
+        }
         switch (ran(outcome)) {
             case NO -> retry(attempt, outcome);
             case YES -> fail(outcome);
