--- a/masticfold-testkit/src/main/java/io/masticfold/testkit/StandInMain.java
+++ b/masticfold-testkit/src/main/java/io/masticfold/testkit/StandInMain.java
@@ -6,6 +6,7 @@
 import io.masticfold.testkit.object.ObjectApiStandIn;
 import io.masticfold.testkit.targets.TargetProfile;
 import io.masticfold.testkit.targets.TargetStandIn;
+import io.masticfold.testkit.vm.VmListStandIn;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
@@ -43,7 +44,7 @@
     static StandIn create(String[] args) {
         if (args.length < FIRST_OPTION) {
             throw new IllegalArgumentException(
-                    "usage: object-api|target <ip:port> [--kind engine|stage|service] [--name NAME] [--slots N]"
+                    "usage: object-api|vm-list|target <ip:port> [--kind engine|stage|service] [--name NAME] [--slots N]"
                             + " [--queue N] [--cold-slots N] [--cold-millis N] [--mean-millis N] [--tokens N]"
                             + " [--lag-millis N] [--checks-fencing true|false] [--seed N]");
         }
@@ -51,6 +52,7 @@
         Map<String, String> options = options(args);
         return switch (args[0]) {
             case "object-api" -> new ObjectApiStandIn(address);
+            case "vm-list" -> new VmListStandIn(address);
             case "target" -> new TargetStandIn(address, profile(options));
             default -> throw new IllegalArgumentException("unknown stand-in: '" + args[0] + "'");
         };
