--- a/masticfold-platform/src/main/java/io/masticfold/platform/json/FieldReader.java
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/json/FieldReader.java
@@ -212,6 +212,11 @@
      */
     public <T> Optional<T> build(Supplier<T> constructor) {
         finish();
+        return buildLenient(constructor);
+    }
+
+    /** Builds a value like {@link #build}, but ignores unknown keys, for answers of the platform that may grow. */
+    public <T> Optional<T> buildLenient(Supplier<T> constructor) {
         if (!present || document.problemCount() > problemsBefore) {
             return Optional.empty();
         }
--- a/masticfold-platform/src/main/java/io/masticfold/platform/store/ConfigSource.java
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/store/ConfigSource.java
@@ -1,21 +1,53 @@
 package io.masticfold.platform.store;
 
+import io.masticfold.core.config.ConfigObject;
 import io.masticfold.core.config.ConfigReplica;
 import io.masticfold.core.config.SpecCodec;
 import io.masticfold.core.model.ObjectKind;
 import io.masticfold.core.time.Scheduler;
+import io.masticfold.platform.event.PlatformEvent;
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
- * Keeps a replica of the configuration up to date from the object API: lists each configuration kind, then watches it.
- * Each kind is watched on its own, so that writes of claims wake no watch. An outage, a slow answer, a compaction or a
- * revision that goes back leaves the configuration in force as it is.
+ * Keeps a replica of the configuration up to date from the object API: lists the configuration kinds, then watches
+ * them together, so that the revision of the replica covers every change up to it; writes of claims wake no watch. An
+ * outage, a slow answer, a compaction or a revision that goes back leaves the configuration in force as it is. At most
+ * one call is in progress at any time.
  */
 public final class ConfigSource {
 
-    private final List<KindWatch> watches;
+    private static final Logger LOG = LoggerFactory.getLogger(ConfigSource.class);
+
+    /** A watch counts as a call while it waits; 10 s keeps that cost low and finds a dead connection soon enough. */
+    private static final Duration WATCH_WAIT = Duration.ofSeconds(10);
+
+    private static final Duration LIST_TIMEOUT = Duration.ofSeconds(10);
+    private static final Duration FIRST_RETRY = Duration.ofMillis(100);
+
+    /** A configuration must be in force within 3 s, so the longest pause after an outage stays well below. */
+    private static final Duration LONGEST_RETRY = Duration.ofSeconds(1);
+
+    private static final List<String> KINDS =
+            Arrays.stream(ObjectKind.values()).map(ObjectKind::code).toList();
+
+    private final ObjectStore store;
+    private final ObjectDecoder decoder;
+    private final ConfigReplica replica;
+    private final Scheduler scheduler;
+    private final Backoff backoff;
+    private final AtomicBoolean running = new AtomicBoolean();
+    private volatile boolean loaded;
+    private volatile boolean reachable;
+    private long revision;
 
     /**
      * Creates a source.
@@ -28,29 +60,114 @@
      */
     public ConfigSource(
             ObjectStore store, SpecCodec codec, ConfigReplica replica, Scheduler scheduler, RandomGenerator random) {
-        ObjectDecoder decoder = new ObjectDecoder(codec);
-        this.watches = Arrays.stream(ObjectKind.values())
-                .map(kind -> new KindWatch(kind, store, decoder, replica, scheduler, random))
-                .toList();
+        this.store = store;
+        this.decoder = new ObjectDecoder(codec);
+        this.replica = replica;
+        this.scheduler = scheduler;
+        this.backoff = new Backoff(FIRST_RETRY, LONGEST_RETRY, random);
     }
 
     /** Starts listing and watching. */
     public void start() {
-        watches.forEach(KindWatch::start);
+        if (!running.getAndSet(true)) {
+            list();
+        }
     }
 
     /** Stops watching; the replica stays as it is. */
     public void stop() {
-        watches.forEach(KindWatch::stop);
+        running.set(false);
     }
 
-    /** Returns whether every kind has been listed at least once. */
+    /** Returns whether the configuration has been listed at least once. */
     public boolean loaded() {
-        return watches.stream().allMatch(KindWatch::loaded);
+        return loaded;
     }
 
-    /** Returns whether the last answer for every kind arrived without a failure. */
+    /** Returns whether the last call was answered without a failure. */
     public boolean reachable() {
-        return watches.stream().allMatch(KindWatch::reachable);
+        return reachable;
+    }
+
+    private void list() {
+        if (running.get()) {
+            store.list(KINDS, 0, LIST_TIMEOUT, this::listed);
+        }
+    }
+
+    private void watch() {
+        if (running.get()) {
+            store.watch(KINDS, revision, WATCH_WAIT, this::watched);
+        }
+    }
+
+    private void catchUp() {
+        if (running.get()) {
+            store.list(KINDS, revision, LIST_TIMEOUT, this::watched);
+        }
+    }
+
+    private void listed(PageReply reply) {
+        if (reply instanceof PageReply.Page page) {
+            accept(page);
+            mergeAbsent(page);
+            loaded = true;
+            PlatformEvent.CONFIG_LOADED.log(LOG, page.objects().size(), page.revision());
+            watch();
+        } else {
+            // A full list cannot be compacted, so that answer counts as a failure here.
+            retryLater(reply, this::list);
+        }
+    }
+
+    private void watched(PageReply reply) {
+        if (reply instanceof PageReply.Page page && page.revision() >= revision) {
+            accept(page);
+            watch();
+        } else if (reply instanceof PageReply.Page page) {
+            PlatformEvent.CONFIG_REVISION_RESET.log(LOG, revision, page.revision());
+            list();
+        } else if (reply instanceof PageReply.Compacted) {
+            PlatformEvent.CONFIG_COMPACTED.log(LOG, revision);
+            list();
+        } else {
+            // A list answers at once, so the source knows within a round trip whether the store is back.
+            retryLater(reply, this::catchUp);
+        }
+    }
+
+    private void accept(PageReply.Page page) {
+        reachable = true;
+        backoff.reset();
+        revision = page.revision();
+        List<ConfigObject> objects = page.objects().stream()
+                .map(decoder::decode)
+                .flatMap(Optional::stream)
+                .toList();
+        replica.merge(objects);
+    }
+
+    /**
+     * Merges tombstones for objects that a full list no longer has, because their deletion was compacted. The revision
+     * of the list is above every version the object had and below every version it will have, so it orders correctly.
+     */
+    private void mergeAbsent(PageReply.Page page) {
+        Set<String> present = page.objects().stream().map(StoredObject::id).collect(Collectors.toSet());
+        List<ConfigObject> gone = replica.snapshot().objects().stream()
+                .filter(object -> !object.deleted() && object.version() < page.revision())
+                .filter(object -> !present.contains(object.key().toString()))
+                .map(object -> new ConfigObject(object.key(), page.revision(), "compacted", null))
+                .toList();
+        gone.forEach(object -> PlatformEvent.CONFIG_OBJECT_GONE.log(LOG, object.key(), page.revision()));
+        replica.merge(gone);
+    }
+
+    private void retryLater(PageReply reply, Runnable next) {
+        Duration delay = backoff.next();
+        if (reachable || !loaded) {
+            PlatformEvent.CONFIG_UNREACHABLE.log(LOG, reply, delay.toMillis());
+        }
+        reachable = false;
+        scheduler.schedule(delay, next);
     }
 }
--- a/masticfold-platform/src/main/java/io/masticfold/platform/store/HttpObjectStore.java
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/store/HttpObjectStore.java
@@ -13,10 +13,12 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -119,14 +121,14 @@
     }
 
     @Override
-    public void list(String kind, long since, Duration timeout, Consumer<PageReply> reply) {
-        String path = "/v1/objects?since=" + since + "&kind=" + encode(kind);
+    public void list(Collection<String> kinds, long since, Duration timeout, Consumer<PageReply> reply) {
+        String path = "/v1/objects?since=" + since + query(kinds);
         page(HttpCall.get(address, path), timeout, reply);
     }
 
     @Override
-    public void watch(String kind, long since, Duration wait, Consumer<PageReply> reply) {
-        String path = "/v1/watch?since=" + since + "&timeoutMillis=" + wait.toMillis() + "&kind=" + encode(kind);
+    public void watch(Collection<String> kinds, long since, Duration wait, Consumer<PageReply> reply) {
+        String path = "/v1/watch?since=" + since + "&timeoutMillis=" + wait.toMillis() + query(kinds);
         page(HttpCall.get(address, path), wait.plus(WATCH_MARGIN), reply);
     }
 
@@ -199,6 +201,10 @@
         return OBJECTS + encode(kind) + '/' + encode(name);
     }
 
+    private static String query(Collection<String> kinds) {
+        return kinds.stream().map(kind -> "&kind=" + encode(kind)).collect(Collectors.joining());
+    }
+
     private static String encode(String text) {
         return URLEncoder.encode(text, StandardCharsets.UTF_8);
     }
--- a/masticfold-platform/src/main/java/io/masticfold/platform/store/ObjectDecoder.java
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/store/ObjectDecoder.java
@@ -23,14 +23,18 @@
     }
 
     /** Decodes an object; an invalid one is logged and left out, so its older version stays in force. */
-    Optional<ConfigObject> decode(ObjectKind kind, StoredObject object) {
+    Optional<ConfigObject> decode(StoredObject object) {
+        Optional<ObjectKind> kind = ObjectKind.ofCode(object.kind());
+        return kind.flatMap(known -> decode(known, object));
+    }
+
+    private Optional<ConfigObject> decode(ObjectKind kind, StoredObject object) {
         try {
             ConfigSpec spec = object.spec() == null ? null : codec.decode(kind, object.name(), object.spec());
             ObjectKey key = new ObjectKey(kind, object.name());
             return Optional.of(new ConfigObject(key, object.version(), object.changeId(), spec));
         } catch (MasticfoldException | IllegalArgumentException e) {
-            PlatformEvent.CONFIG_OBJECT_REFUSED.log(
-                    LOG, object.kind() + '/' + object.name(), object.version(), e.getMessage());
+            PlatformEvent.CONFIG_OBJECT_REFUSED.log(LOG, object.id(), object.version(), e.getMessage());
             return Optional.empty();
         }
     }
--- a/masticfold-platform/src/main/java/io/masticfold/platform/store/ObjectStore.java
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/store/ObjectStore.java
@@ -1,6 +1,7 @@
 package io.masticfold.platform.store;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.function.Consumer;
 
 /**
@@ -49,17 +50,19 @@
     void delete(String kind, String name, long expectedVersion, Duration timeout, Consumer<StoreReply> reply);
 
     /**
-     * Lists the objects of a kind changed since a revision.
+     * Lists the objects of some kinds changed since a revision.
      *
+     * @param kinds codes of the kinds
      * @param since revision already seen, 0 for all objects
      */
-    void list(String kind, long since, Duration timeout, Consumer<PageReply> reply);
+    void list(Collection<String> kinds, long since, Duration timeout, Consumer<PageReply> reply);
 
     /**
-     * Waits for a change of a kind since a revision.
+     * Waits for a change of some kinds since a revision.
      *
+     * @param kinds codes of the kinds
      * @param since revision already seen
      * @param wait longest wait at the store; an answer without objects after that time is no fault
      */
-    void watch(String kind, long since, Duration wait, Consumer<PageReply> reply);
+    void watch(Collection<String> kinds, long since, Duration wait, Consumer<PageReply> reply);
 }
--- a/masticfold-platform/src/main/java/io/masticfold/platform/store/StoredObject.java
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/store/StoredObject.java
@@ -13,6 +13,11 @@
  */
 public record StoredObject(String kind, String name, long version, String changeId, @Nullable String spec) {
 
+    /** Returns kind and name, {@code kind/name}. */
+    public String id() {
+        return kind + '/' + name;
+    }
+
     /** Returns whether the object was deleted in this version. */
     public boolean deleted() {
         return spec == null;
@@ -20,6 +25,6 @@
 
     @Override
     public String toString() {
-        return kind + '/' + name + " version " + version + " by change " + changeId;
+        return id() + " version " + version + " by change " + changeId;
     }
 }
--- a/masticfold-platform/src/test/java/io/masticfold/platform/store/FakeObjectStore.java
+++ b/masticfold-platform/src/test/java/io/masticfold/platform/store/FakeObjectStore.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -18,7 +19,7 @@
         LOSE_WRITE_ANSWERS
     }
 
-    private record Watch(String kind, long since, Consumer<PageReply> reply) {}
+    private record Watch(Collection<String> kinds, long since, Consumer<PageReply> reply) {}
 
     private final Map<String, StoredObject> objects = new TreeMap<>();
     private final List<Watch> watches = new ArrayList<>();
@@ -64,7 +65,7 @@
     private void answerWatches() {
         List<Watch> waiting = List.copyOf(watches);
         watches.clear();
-        waiting.forEach(watch -> watch(watch.kind(), watch.since(), Duration.ZERO, watch.reply()));
+        waiting.forEach(watch -> watch(watch.kinds(), watch.since(), Duration.ZERO, watch.reply()));
     }
 
     @Override
@@ -121,32 +122,32 @@
     }
 
     @Override
-    public void list(String kind, long since, Duration _timeout, Consumer<PageReply> reply) {
+    public void list(Collection<String> kinds, long since, Duration _timeout, Consumer<PageReply> reply) {
         if (fault == Fault.DOWN) {
             reply.accept(new PageReply.Unavailable(retryAfter(), "down"));
         } else if (since > 0 && since < compactedBelow) {
             reply.accept(new PageReply.Compacted());
         } else {
-            reply.accept(new PageReply.Page(revision, changed(kind, since)));
+            reply.accept(new PageReply.Page(revision, changed(kinds, since)));
         }
     }
 
     @Override
-    public void watch(String kind, long since, Duration wait, Consumer<PageReply> reply) {
+    public void watch(Collection<String> kinds, long since, Duration wait, Consumer<PageReply> reply) {
         boolean waits = fault != Fault.DOWN
                 && since <= revision
                 && since >= compactedBelow
-                && changed(kind, since).isEmpty();
+                && changed(kinds, since).isEmpty();
         if (waits) {
-            watches.add(new Watch(kind, since, reply));
+            watches.add(new Watch(kinds, since, reply));
         } else {
-            list(kind, since, wait, reply);
+            list(kinds, since, wait, reply);
         }
     }
 
-    private List<StoredObject> changed(String kind, long since) {
+    private List<StoredObject> changed(Collection<String> kinds, long since) {
         return objects.values().stream()
-                .filter(object -> object.kind().equals(kind) && object.version() > since)
+                .filter(object -> kinds.contains(object.kind()) && object.version() > since)
                 .sorted(Comparator.comparingLong(StoredObject::version))
                 .toList();
     }
--- a/masticfold-platform/src/test/java/io/masticfold/platform/store/HttpObjectStoreTests.java
+++ b/masticfold-platform/src/test/java/io/masticfold/platform/store/HttpObjectStoreTests.java
@@ -13,6 +13,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -129,9 +130,9 @@
     void classifiesPages(int status, String expected) throws Exception {
         String body =
                 "{\"revision\":9,\"objects\":[{\"kind\":\"zone\",\"name\":\"a\",\"version\":9,\"deleted\":true}]}";
-        server.answer("GET /v1/watch?since=4&timeoutMillis=50&kind=zone", status, body);
+        server.answer("GET /v1/watch?since=4&timeoutMillis=50&kind=zone&kind=model", status, body);
 
-        PageReply reply = await(done -> store.watch("zone", 4, Duration.ofMillis(50), done));
+        PageReply reply = await(done -> store.watch(List.of("zone", "model"), 4, Duration.ofMillis(50), done));
 
         assertThat(reply.getClass().getSimpleName()).isEqualTo(expected);
     }
