Adapt the entry's quota exchange to the transport's interface

Cause: the transport now uses the core's demand and share records. Ruled out: a second pair of records in the transport, because it stood twice. Conclusion: compiles.

--- a/masticfold-entry/src/main/java/io/masticfold/entry/EntryQuota.java
+++ b/masticfold-entry/src/main/java/io/masticfold/entry/EntryQuota.java
@@ -1,12 +1,12 @@
 package io.masticfold.entry;
 
 import io.masticfold.core.limit.QuotaClient;
+import io.masticfold.core.limit.WorkspaceDemand;
+import io.masticfold.core.limit.WorkspaceShare;
 import io.masticfold.core.time.Cancellable;
 import io.masticfold.core.time.Scheduler;
 import io.masticfold.wire.QuotaExchange;
 import io.masticfold.wire.WireIdentity;
-import io.masticfold.wire.WorkspaceDemand;
-import io.masticfold.wire.WorkspaceShare;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -22,7 +22,7 @@
 
     private final QuotaClient client;
     private final Map<String, Integer> entriesSeenByAgent = new ConcurrentHashMap<>();
-    private volatile Map<String, List<io.masticfold.core.limit.WorkspaceDemand>> demandByAgent = Map.of();
+    private volatile Map<String, List<WorkspaceDemand>> demandByAgent = Map.of();
     private volatile Cancellable next = Cancellable.NONE;
 
     EntryQuota(QuotaClient client) {
@@ -41,23 +41,18 @@
 
     @Override
     public List<WorkspaceDemand> demand(WireIdentity peer) {
-        return demandByAgent.getOrDefault(peer.process(), List.of()).stream()
-                .map(demand -> new WorkspaceDemand(demand.workspace(), demand.perSecond(), demand.limitPerSecond()))
-                .toList();
+        return demandByAgent.getOrDefault(peer.process(), List.of());
     }
 
     @Override
-    public void received(
-            WireIdentity peer, List<WorkspaceDemand> _demand, List<WorkspaceShare> shares, int connectedEntries) {
+    public void granted(WireIdentity peer, List<WorkspaceShare> shares, int connectedEntries) {
         entriesSeenByAgent.put(peer.process(), connectedEntries);
         int entries = entriesSeenByAgent.values().stream()
                 .mapToInt(Integer::intValue)
                 .max()
                 .orElse(1);
         client.entries(entries);
-        client.receive(shares.stream()
-                .map(share -> new io.masticfold.core.limit.WorkspaceShare(share.workspace(), share.requestsPerSecond()))
-                .toList());
+        client.receive(shares);
     }
 
     @Override
