--- a/masticfold-platform/src/main/java/io/masticfold/platform/json/JsonSupport.java
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/json/JsonSupport.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.util.HashMap;
@@ -49,6 +50,11 @@
         return MAPPER.createObjectNode();
     }
 
+    /** Creates an empty list. */
+    public static ArrayNode array() {
+        return MAPPER.createArrayNode();
+    }
+
     /** Finds the line of each key and array element of a text that has been parsed before. */
     static Map<String, Integer> lines(String text) {
         Map<String, Integer> lines = new HashMap<>();
--- a/masticfold-platform/src/main/java/io/masticfold/platform/json/ObjectFileReader.java
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/json/ObjectFileReader.java
@@ -5,7 +5,11 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Reads object files: one envelope {@code {"kind","name","spec"}} or a list of envelopes. */
+/**
+ * Reads object files: one envelope {@code {"kind","name","spec"}} or a list of envelopes. An envelope may carry the
+ * {@code version} it was read with, which is then the only version it may replace, and the {@code changeId} of that
+ * version, which is ignored.
+ */
 public final class ObjectFileReader {
 
     private ObjectFileReader() {}
@@ -36,6 +40,8 @@
         FieldReader fields = document.reader(node, path);
         ObjectKind kind = fields.choice("kind", ObjectKind.class);
         String name = fields.text("name");
+        long version = fields.has("version") ? fields.wholeNumber("version", 0, Long.MAX_VALUE) : 0;
+        fields.text("changeId", "");
         boolean known = fields.has("kind")
                 && ObjectKind.ofCode(node.path("kind").asText()).isPresent();
         if (fields.object("spec").isEmpty()) {
@@ -43,7 +49,8 @@
         } else if (known && !name.isEmpty()) {
             fields.object("spec")
                     .flatMap(spec -> SpecReader.read(kind, name, spec))
-                    .ifPresent(spec -> entries.add(new SpecEntry(document.source(), fields.line(), path, spec)));
+                    .ifPresent(
+                            spec -> entries.add(new SpecEntry(document.source(), fields.line(), path, version, spec)));
         }
         fields.finish();
     }
--- a/masticfold-platform/src/main/java/io/masticfold/platform/json/SpecEntry.java
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/json/SpecEntry.java
@@ -9,9 +9,10 @@
  * @param source name of the file or of the origin of the text
  * @param line line of the object, from 1
  * @param path JSON path of the object
+ * @param version version the object was edited from, 0 if the text names none
  * @param spec the specification
  */
-public record SpecEntry(String source, int line, String path, ConfigSpec spec) {
+public record SpecEntry(String source, int line, String path, long version, ConfigSpec spec) {
 
     /** Returns the identity of the object. */
     public ObjectKey key() {
