Add the entry, agent and dev subcommands; the whole path serves requests

Cause: a newcomer should see real multi-stage requests answered with one command. Ruled out: a separate program for the demonstration, because it would drift from the daemons.

--- a/masticfold-agent/src/test/java/io/masticfold/agent/HttpTargetClientTests.java
+++ b/masticfold-agent/src/test/java/io/masticfold/agent/HttpTargetClientTests.java
@@ -111,7 +111,8 @@
         RecordingTargetListener listener = new RecordingTargetListener();
         Duration budget = cancel ? BUDGET : Duration.ofMillis(300);
         TargetCall call = client().call(dispatch(1, true, false, 0), budget, listener);
-        TestWaits.await("run", () -> !target.executions().isEmpty() || !listener.ends().isEmpty());
+        TestWaits.await(
+                "run", () -> !target.executions().isEmpty() || !listener.ends().isEmpty());
         if (cancel) {
             call.cancel();
         }
--- a/masticfold-cli/src/main/java/io/masticfold/cli/Masticfold.java
+++ b/masticfold-cli/src/main/java/io/masticfold/cli/Masticfold.java
@@ -6,6 +6,9 @@
 import io.masticfold.cli.config.ApplyCommand;
 import io.masticfold.cli.config.CheckCommand;
 import io.masticfold.cli.config.GetCommand;
+import io.masticfold.cli.daemon.AgentCommand;
+import io.masticfold.cli.daemon.EntryCommand;
+import io.masticfold.cli.dev.DevCommand;
 import io.masticfold.cli.operate.StatusCommand;
 import io.masticfold.cli.operate.TargetCommand;
 import io.masticfold.cli.operate.ZoneCommand;
@@ -30,6 +33,9 @@
 
     /** The subcommands, in the order of the help. Adding one takes one line here. */
     private static final List<Command> COMMANDS = List.of(
+            new EntryCommand(),
+            new AgentCommand(),
+            new DevCommand(),
             new CheckCommand(),
             new ApplyCommand(),
             new GetCommand(),
