Test the retry budget of runs, frozen entries and resumed streams

Cause: trials with deliberate faults on a scratch copy showed two that no test noticed: a dispatch after the claim although the budget was spent, and parts of a cut stream kept over the resume.

Change: an entry frozen while its claim is created must dispatch nothing; a cut stream leaves a part behind a gap that the resumed stream does not repeat; every random history checks that attempts stay within first attempts, free retries after refusals and granted retries.

Ruled out: a check for the result of a stage after the end of the run; the open attempts already drop it, so removing the second guard changes nothing.

Conclusion: the runner needed no change.

--- a/masticfold-core/src/test/java/io/masticfold/core/pipeline/ClaimedStageTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/pipeline/ClaimedStageTests.java
@@ -111,6 +111,21 @@
         assertThat(world.payments(BODY)).isEqualTo(1);
     }
 
+    /** Guards against a late start by an entry that was frozen while its claim was created. */
+    @ParameterizedTest
+    @CsvSource({"1494, budget_too_short no no", "1600, deadline_expired no no"})
+    void dispatchesNothingAfterAPauseThatSpentTheBudget(int pauseMillis, String summary) {
+        RecordedAnswer answer = world.submit(0, "k", PAY);
+        world.scheduler.advance(Duration.ofMillis(1));
+        world.scheduler.pause(Duration.ofMillis(pauseMillis));
+        world.scheduler.advance(PipelineWorld.WINDOW);
+
+        assertThat(answer.summary()).isEqualTo(summary);
+        assertThat(world.dispatches()).isEmpty();
+        assertThat(world.store.only().attempt().counter()).isEqualTo(1);
+        assertThat(world.run(1, "k", PAY).output()).isEqualTo(RESULT);
+    }
+
     @ParameterizedTest
     @CsvSource({
         "FAIL, target_failed yes yes, target_failed yes yes",
--- /dev/null
+++ b/masticfold-core/src/test/java/io/masticfold/core/pipeline/CountingRetryBudget.java
@@ -0,0 +1,28 @@
+package io.masticfold.core.pipeline;
+
+import io.masticfold.core.retry.RetryBudget;
+
+/** Counts what a budget earns and grants. */
+final class CountingRetryBudget implements RetryBudget {
+
+    private final RetryBudget budget;
+    int earned;
+    int granted;
+
+    CountingRetryBudget(RetryBudget budget) {
+        this.budget = budget;
+    }
+
+    @Override
+    public void earn() {
+        earned++;
+        budget.earn();
+    }
+
+    @Override
+    public boolean spend() {
+        boolean allowed = budget.spend();
+        granted += allowed ? 1 : 0;
+        return allowed;
+    }
+}
--- a/masticfold-core/src/test/java/io/masticfold/core/pipeline/FakeAgent.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/pipeline/FakeAgent.java
@@ -35,7 +35,7 @@
         BREAK,
         /** The target answers after two seconds. */
         STALL,
-        /** A stream breaks after its first chunk. */
+        /** A stream breaks after its first chunk and a part behind a gap. */
         CUT
     }
 
@@ -94,6 +94,8 @@
             case BREAK -> end(dispatch, listener, new StageFailed(ErrorKind.TARGET_UNREACHABLE, Ran.UNKNOWN), SERVICE);
             case CUT -> {
                 listener.chunk(dispatch.resumeOffset(), chunk(tail, 0));
+                // A part behind a gap that no other run of the stage repeats.
+                listener.chunk(dispatch.resumeOffset() + 2 * CHUNK_BYTES, Payload.ofUtf8("?"));
                 end(dispatch, listener, new StageFailed(ErrorKind.TARGET_UNREACHABLE, Ran.UNKNOWN), SERVICE);
             }
             default -> {
--- a/masticfold-core/src/test/java/io/masticfold/core/pipeline/FakeEntry.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/pipeline/FakeEntry.java
@@ -3,6 +3,7 @@
 import io.masticfold.core.attempt.AttemptIdSource;
 import io.masticfold.core.attempt.Incarnation;
 import io.masticfold.core.attempt.StageOutcome;
+import io.masticfold.core.attempt.StageRefused;
 import io.masticfold.core.attempt.TargetLoad;
 import io.masticfold.core.link.AgentLink;
 import io.masticfold.core.link.AgentLinks;
@@ -27,7 +28,9 @@
     final List<FakeAgentLink> links;
     final Map<String, Integer> counts = new HashMap<>();
     final PipelineRunner runner;
+    final CountingRetryBudget retries;
     int inFlight;
+    int refusals;
 
     FakeEntry(
             long number,
@@ -35,7 +38,8 @@
             FakeClaimStore store,
             ManualScheduler scheduler,
             PipelineSettings settings,
-            RetryBudget retries) {
+            RetryBudget budget) {
+        this.retries = new CountingRetryBudget(budget);
         this.links = agents.stream()
                 .map(agent -> new FakeAgentLink(agent, scheduler))
                 .toList();
@@ -118,6 +122,7 @@
             }
             released = true;
             inFlight--;
+            refusals += outcome instanceof StageRefused ? 1 : 0;
         }
     }
 }
--- a/masticfold-core/src/test/java/io/masticfold/core/pipeline/PipelineRunnerProperties.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/pipeline/PipelineRunnerProperties.java
@@ -81,6 +81,7 @@
                     .isLessThanOrEqualTo(answer.request.deadline().expiryNanos()));
         }
         attemptsAreNeverSentTwiceNorExtended(world);
+        world.entries.forEach(PipelineRunnerProperties::staysWithinTheRetryBudget);
         assertThat(world.entries).allSatisfy(entry -> assertThat(entry.inFlight).isZero());
     }
 
@@ -154,6 +155,15 @@
         });
     }
 
+    /** Allows each stage one first attempt and one free retry, which needs a refusal; the rest must be granted. */
+    private static void staysWithinTheRetryBudget(FakeEntry entry) {
+        int dispatched =
+                entry.links.stream().mapToInt(link -> link.dispatched.size()).sum();
+        assertThat(dispatched)
+                .isLessThanOrEqualTo(
+                        entry.retries.earned + Math.min(entry.retries.earned, entry.refusals) + entry.retries.granted);
+    }
+
     private static void attemptsAreNeverSentTwiceNorExtended(PipelineWorld world) {
         assertThat(world.dispatches()).extracting(StageDispatch::attempt).doesNotHaveDuplicates();
         Map<String, PipelineRequest> requests = world.answers.stream()
