Send the tokens of the target stand-in as JSON texts

Change: each token is a JSON text; the cancel test uses a percent-encoded attempt id, as an HTTP client sends it. Ruled out: JSON objects for tokens, which would add nothing a test can check.

--- a/masticfold-testkit/src/main/java/io/masticfold/testkit/targets/TokenStream.java
+++ b/masticfold-testkit/src/main/java/io/masticfold/testkit/targets/TokenStream.java
@@ -7,10 +7,11 @@
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
+import io.masticfold.testkit.http.JsonSupport;
 import java.io.IOException;
 import java.util.function.Supplier;
 
-/** Sends the tokens of one run as server-sent events, spread over its service time. */
+/** Sends the tokens of one run as server-sent events, each a JSON text, spread over its service time. */
 final class TokenStream {
 
     private final Eventloop eventloop;
@@ -50,7 +51,7 @@
             answer.run().end().whenResult(this::finish);
             return;
         }
-        String event = event("token", answer.token(sent));
+        String event = event("token", JsonSupport.node(answer.token(sent)).toString());
         sent++;
         whenThawed
                 .get()
--- a/masticfold-testkit/src/test/java/io/masticfold/testkit/targets/TargetStandInTests.java
+++ b/masticfold-testkit/src/test/java/io/masticfold/testkit/targets/TargetStandInTests.java
@@ -54,7 +54,10 @@
         assertThat(answer.headers().firstValue("Content-Type")).contains("text/event-stream");
         List<String> lines =
                 answer.body().lines().filter(line -> !line.isEmpty()).toList();
-        assertThat(lines).hasSize(12).startsWith("event: token", "data: r-2").contains("data: t4");
+        assertThat(lines)
+                .hasSize(12)
+                .startsWith("event: token", "data: \"r-2\"")
+                .contains("data: \"t4\"");
         assertThat(lines.get(10)).isEqualTo("event: end");
         assertThat(lines.get(11)).contains("\"tokens\":5");
     }
@@ -121,7 +124,9 @@
         CompletableFuture<HttpResponse<String>> second = http.sendAsync("POST", "/v1/run", BODY, "X-Attempt-Id", "1:2");
         awaitOpen(2);
         assertThat(run("1:3", "r").headers().firstValue("X-Not-Run")).contains("true");
-        assertThat(Http.json(http.send("DELETE", "/v1/run/1:2", "")).get("ran").booleanValue())
+        assertThat(Http.json(http.send("DELETE", "/v1/run/1%3A2", ""))
+                        .get("ran")
+                        .booleanValue())
                 .isFalse();
         assertThat(Http.json(http.send("DELETE", "/v1/run/1:1", "")).get("ran").booleanValue())
                 .isTrue();
