--- /dev/null
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/store/LeaseClient.java
@@ -0,0 +1,202 @@
+package io.masticfold.platform.store;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.masticfold.core.time.Scheduler;
+import io.masticfold.platform.event.PlatformEvent;
+import io.masticfold.platform.json.JsonSupport;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Acquires and renews a lease, an object of kind {@code lease} that its holder rewrites. A contender takes it over
+ * once it has seen the same version for term and margin on its own monotonic clock; the holder stops acting a margin
+ * before the end of the term that began when its last renewal was sent. No wall clocks are compared. Runs on the
+ * scheduler's thread; {@link #lease()} may be asked from any thread.
+ */
+public final class LeaseClient {
+
+    /** Kind of the objects. */
+    public static final String KIND = "lease";
+
+    /** Length of a term. */
+    public static final Duration TERM = Duration.ofSeconds(10);
+
+    /** Time by which a holder stops early and a contender waits longer. */
+    public static final Duration MARGIN = Duration.ofSeconds(2);
+
+    private static final Logger LOG = LoggerFactory.getLogger(LeaseClient.class);
+
+    /** A third of the term, so that two renewals may fail before the lease lapses. */
+    private static final Duration RENEWAL = TERM.dividedBy(3);
+
+    private static final Duration POLL = Duration.ofSeconds(2);
+    private static final Duration RETRY = Duration.ofMillis(500);
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+    private final ObjectStore store;
+    private final Scheduler scheduler;
+    private final RandomGenerator random;
+    private final String name;
+    private final String holder;
+    private final String session;
+    private final AtomicBoolean running = new AtomicBoolean();
+    private volatile @Nullable Lease lease;
+    private long version;
+    private long observedVersion;
+    private long observedNanos;
+
+    /**
+     * Creates a client.
+     *
+     * @param store the object API
+     * @param scheduler runs the client and supplies its monotonic clock
+     * @param random distinguishes this process from earlier ones of the same name, and spreads the polls
+     * @param name name of the lease
+     * @param holder name of this process
+     */
+    public LeaseClient(ObjectStore store, Scheduler scheduler, RandomGenerator random, String name, String holder) {
+        this.store = store;
+        this.scheduler = scheduler;
+        this.random = random;
+        this.name = name;
+        this.holder = holder;
+        this.session = holder + '-' + Long.toHexString(random.nextLong());
+    }
+
+    /** Starts to contend for the lease. */
+    public void start() {
+        if (!running.getAndSet(true)) {
+            next(Duration.ZERO);
+        }
+    }
+
+    /** Stops, and releases a held lease so that the next holder need not wait for its end. */
+    public void stop() {
+        if (running.getAndSet(false) && lease().isPresent()) {
+            lease = null;
+            store.put(KIND, name, version, changeId(), spec(""), TIMEOUT, _reply -> {});
+        }
+    }
+
+    /** Returns the lease if it is held now. */
+    public Optional<Lease> lease() {
+        return Optional.ofNullable(lease).filter(current -> current.held(scheduler));
+    }
+
+    private void step() {
+        if (!running.get()) {
+            return;
+        }
+        if (lease().isPresent()) {
+            renew();
+        } else {
+            lapse("not renewed in time");
+            store.get(KIND, name, TIMEOUT, this::contend);
+        }
+    }
+
+    private void renew() {
+        long sentNanos = scheduler.nanoTime();
+        store.put(KIND, name, version, changeId(), spec(session), TIMEOUT, reply -> renewed(reply, sentNanos));
+    }
+
+    private void renewed(StoreReply reply, long sentNanos) {
+        Lease current = lease;
+        if (current != null && reply instanceof StoreReply.Written written) {
+            version = written.version();
+            lease = current.extendedTo(end(sentNanos));
+            next(RENEWAL);
+        } else if (reply instanceof StoreReply.Conflict conflict && ours(conflict.current())) {
+            // An earlier renewal of ours took effect although its answer was lost.
+            version = conflict.current().version();
+            next(Duration.ZERO);
+        } else if (reply instanceof StoreReply.Conflict) {
+            lapse("taken over");
+            next(POLL);
+        } else {
+            next(RETRY);
+        }
+    }
+
+    private void contend(StoreReply reply) {
+        if (reply instanceof StoreReply.Absent) {
+            acquire(0);
+        } else if (reply instanceof StoreReply.Found found && free(found.object())) {
+            acquire(found.object().version());
+        } else {
+            next(POLL);
+        }
+    }
+
+    private boolean free(StoredObject object) {
+        if (object.version() != observedVersion) {
+            observedVersion = object.version();
+            observedNanos = scheduler.nanoTime();
+        }
+        boolean lapsed =
+                scheduler.nanoTime() - observedNanos >= TERM.plus(MARGIN).toNanos();
+        return lapsed || session(object).isEmpty() || ours(object);
+    }
+
+    private void acquire(long expectedVersion) {
+        long sentNanos = scheduler.nanoTime();
+        store.put(KIND, name, expectedVersion, changeId(), spec(session), TIMEOUT, reply -> {
+            if (reply instanceof StoreReply.Written written) {
+                version = written.version();
+                lease = new Lease(name, written.version(), end(sentNanos));
+                PlatformEvent.LEASE_ACQUIRED.log(LOG, name, written.version());
+                next(RENEWAL);
+            } else {
+                next(reply instanceof StoreReply.Conflict ? POLL : RETRY);
+            }
+        });
+    }
+
+    private void lapse(String reason) {
+        Lease before = lease;
+        lease = null;
+        if (before != null) {
+            PlatformEvent.LEASE_LAPSED.log(LOG, name, before.fencingNumber(), reason);
+        }
+    }
+
+    private void next(Duration delay) {
+        long jitter = delay.isZero() ? 0 : random.nextLong(Math.max(1, delay.toMillis() / 4));
+        scheduler.schedule(delay.minusMillis(jitter), this::step);
+    }
+
+    private boolean ours(@Nullable StoredObject object) {
+        return object != null && session(object).equals(session);
+    }
+
+    /** Returns the session of the holder, empty if the lease was released. */
+    private static String session(StoredObject object) {
+        try {
+            JsonNode spec = JsonSupport.parse(String.valueOf(object.spec()));
+            return spec.path("session").asText("");
+        } catch (JsonProcessingException e) {
+            return "malformed";
+        }
+    }
+
+    private String spec(String newSession) {
+        return JsonSupport.write(JsonSupport.object()
+                .put("holder", newSession.isEmpty() ? "" : holder)
+                .put("session", newSession)
+                .put("termMillis", TERM.toMillis()));
+    }
+
+    private String changeId() {
+        return session + ':' + Long.toHexString(random.nextLong());
+    }
+
+    private static long end(long sentNanos) {
+        return sentNanos + TERM.minus(MARGIN).toNanos();
+    }
+}
--- a/masticfold-platform/src/test/java/io/masticfold/platform/store/FakeObjectStore.java
+++ b/masticfold-platform/src/test/java/io/masticfold/platform/store/FakeObjectStore.java
@@ -52,6 +52,13 @@
         return revision;
     }
 
+    List<String> names(String kind) {
+        return objects.values().stream()
+                .filter(object -> object.kind().equals(kind) && !object.deleted())
+                .map(StoredObject::name)
+                .toList();
+    }
+
     void write(String kind, String name, String spec) {
         store(kind, name, "direct", spec);
     }
--- /dev/null
+++ b/masticfold-platform/src/test/java/io/masticfold/platform/store/PausableScheduler.java
@@ -0,0 +1,54 @@
+package io.masticfold.platform.store;
+
+import io.masticfold.core.time.Cancellable;
+import io.masticfold.core.time.Scheduler;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Passes tasks to a shared scheduler and holds them back while its process is frozen; the clock goes on. */
+final class PausableScheduler implements Scheduler {
+
+    private final Scheduler shared;
+    private final List<Runnable> held = new ArrayList<>();
+    private boolean frozen;
+
+    PausableScheduler(Scheduler shared) {
+        this.shared = shared;
+    }
+
+    void freeze() {
+        frozen = true;
+    }
+
+    void resume() {
+        frozen = false;
+        List<Runnable> tasks = List.copyOf(held);
+        held.clear();
+        tasks.forEach(Runnable::run);
+    }
+
+    @Override
+    public Cancellable schedule(Duration delay, Runnable task) {
+        return shared.schedule(delay, () -> run(task));
+    }
+
+    private void run(Runnable task) {
+        if (frozen) {
+            held.add(task);
+        } else {
+            task.run();
+        }
+    }
+
+    @Override
+    public long nanoTime() {
+        return shared.nanoTime();
+    }
+
+    @Override
+    public Instant now() {
+        return shared.now();
+    }
+}
