Exchange quotas in the types of the core

Cause: the core now has WorkspaceDemand and WorkspaceShare, and the transport carried records of the same names and fields.

Change: heartbeats carry the core's records. QuotaExchange takes demand (from entries) and shares (from agents) in two methods, because a process only ever receives one of them. WireServer reports its open attempts, so that an agent can tell when every outcome has been handed over.

Ruled out: one method with both lists; every implementation would ignore half of it.

--- a/masticfold-wire/src/main/java/io/masticfold/wire/AbstractConnection.java
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/AbstractConnection.java
@@ -1,6 +1,8 @@
 package io.masticfold.wire;
 
 import io.masticfold.core.config.ConfigSnapshot;
+import io.masticfold.core.limit.WorkspaceDemand;
+import io.masticfold.core.limit.WorkspaceShare;
 import io.masticfold.core.time.Cancellable;
 import io.masticfold.wire.proto.Frame;
 import io.masticfold.wire.proto.Heartbeat;
@@ -8,6 +10,7 @@
 import io.masticfold.wire.proto.QuotaShare;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import java.util.List;
 import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -193,23 +196,27 @@
         lastHeardNanos = environment.time().nanoTime();
         peerLeaving = heartbeat.getLeaving();
         heard.accept(heartbeat);
-        environment
-                .quota()
-                .received(
-                        peer.identity(),
-                        heartbeat.getDemandList().stream()
-                                .map(demand -> new WorkspaceDemand(
-                                        demand.getWorkspace(),
-                                        demand.getRequestsPerSecond(),
-                                        demand.getLimitPerSecond()))
-                                .toList(),
-                        heartbeat.getShareList().stream()
-                                .map(share -> new WorkspaceShare(share.getWorkspace(), share.getRequestsPerSecond()))
-                                .toList(),
-                        heartbeat.getConnectedEntries());
+        if (peer.identity().role() == PeerRole.ENTRY) {
+            environment.quota().demanded(peer.identity(), demand(heartbeat));
+        } else {
+            environment.quota().granted(peer.identity(), shares(heartbeat), heartbeat.getConnectedEntries());
+        }
         sync.heartbeat(heartbeat);
     }
 
+    private static List<WorkspaceDemand> demand(Heartbeat heartbeat) {
+        return heartbeat.getDemandList().stream()
+                .map(demand -> new WorkspaceDemand(
+                        demand.getWorkspace(), demand.getRequestsPerSecond(), demand.getLimitPerSecond()))
+                .toList();
+    }
+
+    private static List<WorkspaceShare> shares(Heartbeat heartbeat) {
+        return heartbeat.getShareList().stream()
+                .map(share -> new WorkspaceShare(share.getWorkspace(), share.getRequestsPerSecond()))
+                .toList();
+    }
+
     private void tick() {
         long silence = silenceNanos();
         if (silence > WireLimits.MAX_SILENCE.toNanos()) {
@@ -236,14 +243,14 @@
                 .demand(peer.identity())
                 .forEach(demand -> heartbeat.addDemand(QuotaDemand.newBuilder()
                         .setWorkspace(demand.workspace())
-                        .setRequestsPerSecond(demand.requestsPerSecond())
+                        .setRequestsPerSecond(demand.perSecond())
                         .setLimitPerSecond(demand.limitPerSecond())));
         environment
                 .quota()
                 .shares(peer.identity())
                 .forEach(share -> heartbeat.addShare(QuotaShare.newBuilder()
                         .setWorkspace(share.workspace())
-                        .setRequestsPerSecond(share.requestsPerSecond())));
+                        .setRequestsPerSecond(share.perSecond())));
         send(Frame.newBuilder().setHeartbeat(heartbeat).build());
     }
 
--- a/masticfold-wire/src/main/java/io/masticfold/wire/QuotaExchange.java
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/QuotaExchange.java
@@ -1,5 +1,7 @@
 package io.masticfold.wire;
 
+import io.masticfold.core.limit.WorkspaceDemand;
+import io.masticfold.core.limit.WorkspaceShare;
 import java.util.List;
 
 /**
@@ -21,16 +23,17 @@
         return List.of();
     }
 
+    /** Takes the demand an entry reports, by workspace. */
+    default void demanded(WireIdentity peer, List<WorkspaceDemand> demand) {}
+
     /**
-     * Takes what a peer reported.
+     * Takes the shares an agent grants.
      *
-     * @param peer the peer
-     * @param demand demand of the peer by workspace
-     * @param shares shares the peer grants to this process
-     * @param connectedEntries entries connected to the peer, 0 if the peer is an entry
+     * @param peer the agent
+     * @param shares shares of this process, by workspace
+     * @param connectedEntries entries connected to the agent
      */
-    default void received(
-            WireIdentity peer, List<WorkspaceDemand> demand, List<WorkspaceShare> shares, int connectedEntries) {}
+    default void granted(WireIdentity peer, List<WorkspaceShare> shares, int connectedEntries) {}
 
     /** Takes note that the link with a peer has ended. */
     default void lost(WireIdentity peer) {}
--- a/masticfold-wire/src/main/java/io/masticfold/wire/WireServer.java
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/WireServer.java
@@ -133,6 +133,11 @@
                 .toList();
     }
 
+    /** Returns the number of attempts whose outcome has not been handed to a connection. */
+    public int openAttempts() {
+        return connections.stream().mapToInt(AgentConnection::openAttempts).sum();
+    }
+
     /** Returns the number of authenticated connections. */
     public int connectedEntries() {
         return connections.size();
