Add the HTTP client of the agent for its target

Cause: the gate needs a TargetClient that says truthfully whether a call ran.

Change: HttpTargetClient calls POST /v1/run with ActiveJ and cancels with DELETE. No connection, or 503 with X-Not-Run, is "not run"; a connection lost without an answer is unknown; a broken answer or another 5xx is "ran". Streamed answers are decoded as they come, bounded by a window of 256 KiB, and count as finished only after the end event. A resumed stream is read from its start and passed on from the offset.

Ruled out: kept connections for calls that may not be repeated. A kept connection that the target has closed meanwhile would turn the call into an unknown outcome. Ending a cancelled call at once: it still occupies the target, so it ends with the target's answer or after 1 s.

--- /dev/null
+++ b/masticfold-agent/src/main/java/io/masticfold/agent/ConnectInspector.java
@@ -0,0 +1,28 @@
+package io.masticfold.agent;
+
+import io.activej.http.HttpClient;
+import io.activej.http.HttpRequest;
+import java.net.InetSocketAddress;
+
+/** Tells a call that its connection could not be established, which the client's exception alone does not say. */
+final class ConnectInspector extends HttpClient.JmxInspector {
+
+    @Override
+    public void onResolveError(HttpRequest request, Exception failure) {
+        super.onResolveError(request, failure);
+        connectFailed(request);
+    }
+
+    @Override
+    public void onConnectError(HttpRequest request, InetSocketAddress address, Exception failure) {
+        super.onConnectError(request, address, failure);
+        connectFailed(request);
+    }
+
+    private static void connectFailed(HttpRequest request) {
+        HttpTargetCall call = request.getAttachment(HttpTargetCall.class);
+        if (call != null) {
+            call.connectFailed();
+        }
+    }
+}
--- /dev/null
+++ b/masticfold-agent/src/main/java/io/masticfold/agent/HttpTargetCall.java
@@ -0,0 +1,316 @@
+package io.masticfold.agent;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.csp.supplier.ChannelSupplier;
+import io.activej.eventloop.Eventloop;
+import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.activej.reactor.schedule.ScheduledRunnable;
+import io.masticfold.core.attempt.Payload;
+import io.masticfold.core.attempt.StageDispatch;
+import io.masticfold.core.error.ErrorKind;
+import io.masticfold.core.error.Ran;
+import io.masticfold.core.gate.TargetCall;
+import io.masticfold.core.gate.TargetListener;
+import io.masticfold.core.time.Deadline;
+import io.masticfold.core.time.TimeSource;
+import io.masticfold.wire.WireLimits;
+import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.concurrent.CancellationException;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Follows one call to the target. Confined to the event loop, except for cancel and grant.
+ *
+ * <p>A streamed answer is read only while its window allows: 256 KiB more than the receiver has consumed.
+ */
+final class HttpTargetCall implements TargetCall {
+
+    /** Largest answer that is not streamed, in bytes; it must fit into one frame. */
+    static final int MAX_BODY_BYTES = WireLimits.MAX_FRAME_BYTES - 64 * 1024;
+
+    private static final HttpHeader NOT_RUN = HttpHeaders.of("X-Not-Run");
+    private static final int OK = 200;
+    private static final int SERVER_ERROR = 500;
+    private static final int UNAVAILABLE = 503;
+
+    /** Time a cancelled call may take to end by itself; until then it counts as running at the target. */
+    private static final Duration CANCEL_GRACE = Duration.ofSeconds(1);
+
+    /** Time in which a target must finish its answer after the end mark; then the connection is closed. */
+    private static final Duration DRAIN_TIMEOUT = Duration.ofSeconds(1);
+
+    private final HttpTargetClient client;
+    private final Eventloop eventloop;
+    private final StageDispatch dispatch;
+    private final Deadline deadline;
+    private final TimeSource time;
+    private final TargetListener listener;
+    private final SseDecoder events = new SseDecoder();
+    private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
+    private @Nullable ScheduledRunnable timer;
+    private @Nullable ChannelSupplier<ByteBuf> stream;
+    private long window = WireLimits.STREAM_WINDOW_BYTES;
+    private long toSkip;
+    private boolean started;
+    private boolean connectFailed;
+    private boolean cancelled;
+    private boolean reading;
+    private boolean ended;
+
+    HttpTargetCall(
+            HttpTargetClient client,
+            Eventloop eventloop,
+            StageDispatch dispatch,
+            Deadline deadline,
+            TimeSource time,
+            TargetListener listener) {
+        this.client = client;
+        this.eventloop = eventloop;
+        this.dispatch = dispatch;
+        this.deadline = deadline;
+        this.time = time;
+        this.listener = listener;
+        this.toSkip = dispatch.resumeOffset();
+    }
+
+    @Override
+    public void cancel() {
+        eventloop.execute(this::cancelOnLoop);
+    }
+
+    @Override
+    public void grant(int bytes) {
+        eventloop.execute(() -> {
+            window += bytes;
+            read();
+        });
+    }
+
+    /** Sends the request unless the call was cancelled or its time ran out while it waited for the event loop. */
+    void start() {
+        if (ended) {
+            return;
+        }
+        long millis = deadline.remaining(time).toMillis();
+        if (millis <= 0) {
+            fail(ErrorKind.STAGE_TIMEOUT, Ran.NO, "the budget was spent before the call");
+            return;
+        }
+        started = true;
+        timer = eventloop.delayBackground(millis, this::timedOut);
+        client.send(dispatch, this, millis).subscribe(this::answered);
+    }
+
+    /** Ends a call that is made after the client was stopped. */
+    void refuse() {
+        fail(ErrorKind.SHUTTING_DOWN, Ran.NO, "the agent has stopped");
+    }
+
+    /** Takes note that no connection came about, so that no byte has left. */
+    void connectFailed() {
+        connectFailed = true;
+    }
+
+    private void cancelOnLoop() {
+        if (ended || cancelled) {
+            return;
+        }
+        cancelled = true;
+        if (!started) {
+            fail(ErrorKind.CANCELLED, Ran.NO, "cancelled before the call");
+            return;
+        }
+        client.cancel(dispatch.attempt());
+        cancelTimer();
+        timer = eventloop.delayBackground(
+                Math.min(CANCEL_GRACE.toMillis(), deadline.remaining(time).toMillis()),
+                () -> fail(ErrorKind.CANCELLED, Ran.UNKNOWN, "cancelled"));
+    }
+
+    private void timedOut() {
+        if (!ended) {
+            client.cancel(dispatch.attempt());
+            fail(ErrorKind.STAGE_TIMEOUT, Ran.UNKNOWN, "no whole answer within the budget");
+        }
+    }
+
+    private void answered(@Nullable HttpResponse response, @Nullable Exception failure) {
+        if (ended) {
+            discard(response);
+        } else if (response == null) {
+            unanswered(String.valueOf(failure));
+        } else if (response.getCode() == OK) {
+            accept(response);
+        } else {
+            rejected(response);
+        }
+    }
+
+    private void unanswered(String reason) {
+        if (connectFailed) {
+            fail(ErrorKind.TARGET_UNREACHABLE, Ran.NO, reason);
+        } else {
+            fail(ErrorKind.LINK_LOST, Ran.UNKNOWN, reason);
+        }
+    }
+
+    private void rejected(HttpResponse response) {
+        int code = response.getCode();
+        boolean notRun = code == UNAVAILABLE && "true".equalsIgnoreCase(response.getHeader(NOT_RUN));
+        discard(response);
+        if (notRun) {
+            fail(ErrorKind.OVERLOADED, Ran.NO, "the target states that it did not run the call");
+        } else if (code >= SERVER_ERROR) {
+            fail(ErrorKind.TARGET_FAILED, Ran.YES, "status " + code);
+        } else {
+            // The protocol gives no meaning to other codes, so nothing is known about the execution.
+            fail(ErrorKind.TARGET_FAILED, Ran.UNKNOWN, "status " + code);
+        }
+    }
+
+    private void accept(HttpResponse response) {
+        if (dispatch.streaming()) {
+            stream = response.takeBodyStream();
+            read();
+        } else {
+            response.loadBody(MAX_BODY_BYTES).subscribe(this::loaded);
+        }
+    }
+
+    private void loaded(@Nullable ByteBuf body, @Nullable Exception failure) {
+        if (ended) {
+            return;
+        }
+        if (body == null) {
+            fail(ErrorKind.LINK_LOST, Ran.YES, "the answer broke off: " + failure);
+        } else {
+            complete(Payload.wrap(body.getArray()));
+        }
+    }
+
+    /** Reads from the stream as long as the window allows. */
+    private void read() {
+        ChannelSupplier<ByteBuf> source = stream;
+        while (source != null && !ended && !reading && window > 0) {
+            Promise<ByteBuf> next = source.get();
+            if (next.isComplete()) {
+                take(next.getResult(), next.getException());
+            } else {
+                reading = true;
+                next.subscribe((bytes, failure) -> {
+                    reading = false;
+                    take(bytes, failure);
+                    read();
+                });
+            }
+        }
+    }
+
+    private void take(@Nullable ByteBuf bytes, @Nullable Exception failure) {
+        if (ended) {
+            return;
+        }
+        if (bytes == null) {
+            cut(failure == null ? "connection closed" : failure.toString());
+            return;
+        }
+        byte[] array = bytes.asArray();
+        events.decode(array, 0, array.length);
+        pass(events.takeResult());
+        if (!ended && !events.state().open()) {
+            finish(events.state());
+        }
+    }
+
+    private void pass(byte[] part) {
+        if (whole.size() + part.length > WireLimits.MAX_STREAM_RESULT_BYTES) {
+            fail(ErrorKind.TARGET_FAILED, Ran.YES, "the streamed answer is too large");
+            return;
+        }
+        whole.writeBytes(part);
+        int skipped = (int) Math.min(toSkip, part.length);
+        toSkip -= skipped;
+        if (skipped < part.length) {
+            window -= part.length - skipped;
+            listener.chunk(Payload.wrap(Arrays.copyOfRange(part, skipped, part.length)));
+        }
+    }
+
+    private void finish(SseState state) {
+        if (state == SseState.ENDED) {
+            complete(Payload.wrap(whole.toByteArray()));
+        } else {
+            fail(ErrorKind.TARGET_FAILED, Ran.YES, "the stream ended as " + state);
+        }
+    }
+
+    /** Ends a stream without end mark as failed: a part of the result may be missing. */
+    private void cut(String reason) {
+        fail(ErrorKind.LINK_LOST, Ran.YES, "stream cut after " + whole.size() + " bytes: " + reason);
+    }
+
+    private void complete(Payload result) {
+        end();
+        listener.completed(result);
+    }
+
+    private void fail(ErrorKind kind, Ran ran, String reason) {
+        if (ended) {
+            return;
+        }
+        end();
+        client.logFailure(dispatch.attempt(), ran, reason);
+        boolean ownDoing = cancelled && ran != Ran.NO;
+        listener.failed(ownDoing ? ErrorKind.CANCELLED : kind, ran);
+    }
+
+    private void end() {
+        ended = true;
+        cancelTimer();
+        ChannelSupplier<ByteBuf> source = stream;
+        stream = null;
+        if (source == null) {
+            return;
+        }
+        if (events.state() == SseState.ENDED) {
+            eventloop.delayBackground(DRAIN_TIMEOUT, () -> close(source));
+            drain(source);
+        } else {
+            close(source);
+        }
+    }
+
+    private static void close(ChannelSupplier<ByteBuf> source) {
+        source.closeEx(new CancellationException("the call has ended"));
+    }
+
+    /** Reads what follows the end mark, so that the connection can be kept. */
+    private static void drain(ChannelSupplier<ByteBuf> source) {
+        source.get().subscribe((bytes, _failure) -> {
+            if (bytes != null) {
+                bytes.recycle();
+                drain(source);
+            }
+        });
+    }
+
+    private void cancelTimer() {
+        ScheduledRunnable current = timer;
+        timer = null;
+        if (current != null) {
+            current.cancel();
+        }
+    }
+
+    /** Reads the rest of an answer, so that its connection can be kept. The message owns the body it loads. */
+    private static void discard(@Nullable HttpResponse response) {
+        if (response != null) {
+            response.loadBody(MAX_BODY_BYTES);
+        }
+    }
+}
--- /dev/null
+++ b/masticfold-agent/src/main/java/io/masticfold/agent/HttpTargetClient.java
@@ -0,0 +1,137 @@
+package io.masticfold.agent;
+
+import io.activej.common.MemSize;
+import io.activej.eventloop.Eventloop;
+import io.activej.http.HttpClient;
+import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.masticfold.core.attempt.AttemptId;
+import io.masticfold.core.attempt.StageDispatch;
+import io.masticfold.core.error.Ran;
+import io.masticfold.core.gate.TargetCall;
+import io.masticfold.core.gate.TargetClient;
+import io.masticfold.core.gate.TargetListener;
+import io.masticfold.core.time.Deadline;
+import io.masticfold.core.time.TimeSource;
+import java.net.InetSocketAddress;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Calls the target over HTTP from one event loop.
+ *
+ * <p>A call is certainly not run if no connection came about or if the target answers 503 with {@code X-Not-Run: true}.
+ * Once the request was handed to a connection, a failure without an answer is unknown. A call that may not be repeated
+ * always opens a connection of its own: a kept connection that the target has closed in the meantime would turn it into
+ * an unknown outcome.
+ */
+public final class HttpTargetClient implements TargetClient {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(HttpTargetClient.class);
+    private static final HttpHeader ATTEMPT_ID = HttpHeaders.of("X-Attempt-Id");
+    private static final HttpHeader REQUEST_ID = HttpHeaders.of("X-Request-Id");
+    private static final HttpHeader PRIORITY = HttpHeaders.of("X-Priority");
+    private static final HttpHeader DEADLINE = HttpHeaders.of("X-Deadline-Ms");
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+    /** A kept connection is dropped before a target would usually close it. */
+    private static final Duration KEEP_ALIVE = Duration.ofSeconds(5);
+
+    /** Longest time without a byte; the budget of a call ends it much earlier. */
+    private static final Duration READ_WRITE_TIMEOUT = Duration.ofMinutes(30);
+
+    private final Eventloop eventloop;
+    private final String target;
+    private final String base;
+    private final TimeSource time;
+    private final HttpClient keptConnections;
+    private final HttpClient ownConnections;
+    private final AtomicBoolean open = new AtomicBoolean(true);
+
+    /**
+     * Creates a client.
+     *
+     * @param eventloop event loop the calls run on
+     * @param target name of the target, for logs
+     * @param address numeric address of the target
+     * @param time time source
+     */
+    public HttpTargetClient(Eventloop eventloop, String target, InetSocketAddress address, TimeSource time) {
+        this.eventloop = eventloop;
+        this.target = target;
+        this.base = "http://" + address.getAddress().getHostAddress() + ':' + address.getPort();
+        this.time = time;
+        this.keptConnections =
+                builder(eventloop).withKeepAliveTimeout(KEEP_ALIVE).build();
+        this.ownConnections = builder(eventloop).withNoKeepAlive().build();
+    }
+
+    private static HttpClient.Builder builder(Eventloop eventloop) {
+        return HttpClient.builder(eventloop, new NumericDnsClient())
+                .withConnectTimeout(CONNECT_TIMEOUT)
+                .withReadWriteTimeout(READ_WRITE_TIMEOUT)
+                .withMaxBodySize(MemSize.of(HttpTargetCall.MAX_BODY_BYTES))
+                .withInspector(new ConnectInspector())
+                .withForcedShutdown(true);
+    }
+
+    @Override
+    public TargetCall call(StageDispatch dispatch, Duration budget, TargetListener listener) {
+        HttpTargetCall call =
+                new HttpTargetCall(this, eventloop, dispatch, Deadline.after(time, budget), time, listener);
+        if (open.get()) {
+            eventloop.execute(call::start);
+        } else {
+            call.refuse();
+        }
+        return call;
+    }
+
+    /** Stops the client; calls in progress end as failed. Must be called on the event loop. */
+    void stop() {
+        open.set(false);
+        keptConnections.stop();
+        ownConnections.stop();
+    }
+
+    /** Sends the request of a call. Must be called on the event loop. */
+    Promise<HttpResponse> send(StageDispatch dispatch, HttpTargetCall call, long deadlineMillis) {
+        HttpRequest request = HttpRequest.builder(HttpMethod.POST, base + "/v1/run")
+                .withHeader(ATTEMPT_ID, dispatch.attempt().toString())
+                .withHeader(REQUEST_ID, dispatch.requestId())
+                .withHeader(PRIORITY, Integer.toString(dispatch.priority()))
+                .withHeader(DEADLINE, Long.toString(deadlineMillis))
+                .withHeader(HttpHeaders.CONTENT_TYPE, "application/json")
+                .withHeader(HttpHeaders.ACCEPT, dispatch.streaming() ? "text/event-stream" : "application/json")
+                .withBody(dispatch.body().unsafeBytes())
+                .build();
+        request.attach(HttpTargetCall.class, call);
+        HttpClient client = dispatch.idempotent() ? keptConnections : ownConnections;
+        return client.request(request);
+    }
+
+    /** Asks the target to cancel an attempt. Must be called on the event loop. */
+    void cancel(AttemptId attempt) {
+        String path = "/v1/run/" + URLEncoder.encode(attempt.toString(), StandardCharsets.UTF_8);
+        HttpRequest request = HttpRequest.builder(HttpMethod.DELETE, base + path)
+                .withHeader(ATTEMPT_ID, attempt.toString())
+                .build();
+        keptConnections.request(request).then(response -> response.loadBody()).subscribe((_body, failure) -> {
+            if (failure != null) {
+                AgentEvent.CANCEL_FAILED.log(LOGGER, target, attempt, failure.toString());
+            }
+        });
+    }
+
+    void logFailure(AttemptId attempt, Ran ran, String reason) {
+        AgentEvent.CALL_FAILED.log(LOGGER, attempt, target, ran.code(), reason);
+    }
+}
--- a/masticfold-agent/src/main/java/io/masticfold/agent/package-info.java
+++ b/masticfold-agent/src/main/java/io/masticfold/agent/package-info.java
@@ -1,2 +1,5 @@
-/** Root package of the masticfold-agent module. */
+/** Agent daemon: admits the attempts of entries and calls the target beside it. */
+@NullMarked
 package io.masticfold.agent;
+
+import org.jspecify.annotations.NullMarked;
