--- /dev/null
+++ b/masticfold-agent/src/main/java/io/masticfold/agent/AgentAdmin.java
@@ -0,0 +1,53 @@
+package io.masticfold.agent;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.activej.http.AsyncServlet;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpResponse;
+import io.activej.http.RoutingServlet;
+import io.activej.promise.Promise;
+import io.activej.reactor.Reactor;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+/** Serves health, metrics and status to operators. */
+final class AgentAdmin {
+
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+
+    private AgentAdmin() {}
+
+    /**
+     * Creates the servlet.
+     *
+     * @param reactor event loop of the admin server
+     * @param ready tells whether the agent takes new work
+     * @param metrics renders the Prometheus text
+     * @param status renders the status
+     */
+    static AsyncServlet servlet(
+            Reactor reactor, BooleanSupplier ready, Supplier<String> metrics, Supplier<JsonNode> status) {
+        return RoutingServlet.builder(reactor)
+                .with(HttpMethod.GET, "/health/live", _request -> answer(OK, "text/plain", "live"))
+                .with(HttpMethod.GET, "/health/ready", _request -> ready(ready.getAsBoolean()))
+                .with(HttpMethod.GET, "/metrics", _request -> answer(OK, "text/plain; version=0.0.4", metrics.get()))
+                .with(
+                        HttpMethod.GET,
+                        "/status",
+                        _request -> answer(OK, "application/json", status.get().toString()))
+                .build();
+    }
+
+    private static Promise<HttpResponse> ready(boolean ready) {
+        return ready ? answer(OK, "text/plain", "ready") : answer(UNAVAILABLE, "text/plain", "not ready");
+    }
+
+    private static Promise<HttpResponse> answer(int code, String contentType, String body) {
+        return HttpResponse.ofCode(code)
+                .withHeader(HttpHeaders.CONTENT_TYPE, contentType)
+                .withBody(body)
+                .toPromise();
+    }
+}
--- /dev/null
+++ b/masticfold-agent/src/main/java/io/masticfold/agent/LoadPoller.java
@@ -0,0 +1,113 @@
+package io.masticfold.agent;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.eventloop.Eventloop;
+import io.activej.http.HttpClient;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.masticfold.core.error.MasticfoldException;
+import io.masticfold.core.gate.TargetReport;
+import io.masticfold.core.telemetry.Telemetry;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Asks the target for its load at a fixed interval and passes on what it answers. At most one question is open; a
+ * target that does not answer is asked again at the next interval after the timeout. Confined to the event loop.
+ */
+final class LoadPoller {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(LoadPoller.class);
+    private static final Duration INTERVAL = Duration.ofMillis(200);
+    private static final Duration TIMEOUT = Duration.ofSeconds(1);
+    private static final int MAX_REPORT_BYTES = 64 * 1024;
+    private static final int OK = 200;
+
+    private final Eventloop eventloop;
+    private final HttpClient client;
+    private final String target;
+    private final InetSocketAddress address;
+    private final Telemetry telemetry;
+    private final Consumer<TargetReport> receiver;
+    private @Nullable Boolean known;
+    private boolean stopped;
+
+    LoadPoller(
+            Eventloop eventloop,
+            String target,
+            InetSocketAddress address,
+            Telemetry telemetry,
+            Consumer<TargetReport> receiver) {
+        this.eventloop = eventloop;
+        this.client = HttpClient.builder(eventloop, new NumericDnsClient())
+                .withConnectTimeout(TIMEOUT)
+                .withReadWriteTimeout(TIMEOUT)
+                .withKeepAliveTimeout(TIMEOUT)
+                .withForcedShutdown(true)
+                .build();
+        this.target = target;
+        this.address = address;
+        this.telemetry = telemetry;
+        this.receiver = receiver;
+    }
+
+    void start() {
+        poll();
+    }
+
+    void stop() {
+        stopped = true;
+        client.stop();
+    }
+
+    private void poll() {
+        if (stopped) {
+            return;
+        }
+        String url = "http://" + address.getAddress().getHostAddress() + ':' + address.getPort() + "/v1/load";
+        client.request(HttpRequest.get(url).build()).then(this::body).subscribe((body, failure) -> {
+            answered(body, failure);
+            eventloop.delayBackground(INTERVAL, this::poll);
+        });
+    }
+
+    private Promise<ByteBuf> body(HttpResponse response) {
+        return response.getCode() == OK
+                ? response.loadBody(MAX_REPORT_BYTES)
+                : Promise.ofException(new IllegalStateException("status " + response.getCode()));
+    }
+
+    private void answered(@Nullable ByteBuf body, @Nullable Exception failure) {
+        if (stopped) {
+            return;
+        }
+        if (body == null) {
+            unknown(String.valueOf(failure));
+            return;
+        }
+        try {
+            TargetReport report = LoadReader.read(body.getString(StandardCharsets.UTF_8));
+            if (!Boolean.TRUE.equals(known)) {
+                AgentEvent.LOAD_KNOWN.log(LOGGER, target, address, report.bootId());
+            }
+            known = true;
+            receiver.accept(report);
+        } catch (MasticfoldException e) {
+            unknown(String.valueOf(e.getMessage()));
+        }
+    }
+
+    private void unknown(String reason) {
+        telemetry.count("load_report_failed");
+        if (!Boolean.FALSE.equals(known)) {
+            AgentEvent.LOAD_UNKNOWN.log(LOGGER, target, address, reason);
+        }
+        known = false;
+    }
+}
--- /dev/null
+++ b/masticfold-agent/src/main/java/io/masticfold/agent/LoadReader.java
@@ -0,0 +1,39 @@
+package io.masticfold.agent;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.masticfold.core.attempt.Temperature;
+import io.masticfold.core.error.ErrorKind;
+import io.masticfold.core.error.MasticfoldException;
+import io.masticfold.core.gate.TargetReport;
+import java.util.Locale;
+
+/** Reads the load reports of targets. */
+final class LoadReader {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private LoadReader() {}
+
+    /**
+     * Reads a report.
+     *
+     * @param json the JSON text
+     * @throws MasticfoldException with kind {@code TARGET_FAILED} if the text is no load report
+     */
+    static TargetReport read(String json) throws MasticfoldException {
+        try {
+            JsonNode report = MAPPER.readTree(json);
+            return new TargetReport(
+                    report.required("bootId").asText(),
+                    Temperature.valueOf(report.required("state").asText().toUpperCase(Locale.ROOT)),
+                    report.required("running").asInt(),
+                    report.required("queued").asInt(),
+                    report.required("slots").asInt(),
+                    report.path("ageMillis").asLong());
+        } catch (JsonProcessingException | IllegalArgumentException e) {
+            throw new MasticfoldException(ErrorKind.TARGET_FAILED, "not a load report: " + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/masticfold-agent/src/test/java/io/masticfold/agent/HttpTargetClientTests.java
@@ -0,0 +1,151 @@
+package io.masticfold.agent;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.masticfold.core.attempt.AttemptId;
+import io.masticfold.core.attempt.Incarnation;
+import io.masticfold.core.attempt.Payload;
+import io.masticfold.core.attempt.StageDispatch;
+import io.masticfold.core.gate.TargetCall;
+import io.masticfold.core.model.TargetKind;
+import io.masticfold.core.time.TimeSource;
+import io.masticfold.testkit.targets.Execution;
+import io.masticfold.testkit.targets.ExecutionState;
+import io.masticfold.testkit.targets.TargetFault;
+import io.masticfold.testkit.targets.TargetProfile;
+import io.masticfold.testkit.targets.TargetStandIn;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards what the agent concludes from the behaviour of its target about the execution of a call. */
+final class HttpTargetClientTests {
+
+    private static final Duration BUDGET = Duration.ofSeconds(10);
+
+    private final AgentLoop loop = new AgentLoop("test");
+    private TargetStandIn target;
+
+    @BeforeEach
+    void startLoop() {
+        loop.start();
+    }
+
+    @AfterEach
+    void stop() {
+        if (target != null) {
+            target.stop();
+        }
+        loop.stop();
+    }
+
+    /** Guards the truth of "not run": what the client reports must agree with what the target executed. */
+    @ParameterizedTest
+    @CsvSource({
+        "REFUSE, OVERLOADED NO, 0",
+        "FAIL, TARGET_FAILED YES, 1",
+        "CUT_ON_ARRIVAL, LINK_LOST UNKNOWN, 0",
+        "CUT_BEFORE_BODY, LINK_LOST UNKNOWN, 1",
+        "REJECT_MILLIS, TARGET_UNREACHABLE NO, 0"
+    })
+    void faultIsClassified(TargetFault fault, String end, int executions) throws Exception {
+        start(TargetProfile.of("t1", TargetKind.STAGE));
+        target.fault(fault, fault == TargetFault.REJECT_MILLIS ? 60_000 : 1);
+        RecordingTargetListener listener = new RecordingTargetListener();
+        client().call(dispatch(1, false, false, 0), BUDGET, listener);
+        assertThat(listener.awaitEnd()).isEqualTo(end);
+        assertThat(target.executions()).hasSize(executions);
+        assertThat(listener.ends()).hasSize(1);
+    }
+
+    /** Guards the headers and the body of a call, and the result. */
+    @Test
+    void wholeAnswerIsPassedOn() throws Exception {
+        start(TargetProfile.of("t1", TargetKind.SERVICE));
+        RecordingTargetListener listener = new RecordingTargetListener();
+        StageDispatch dispatch = dispatch(7, true, false, 0);
+        client().call(dispatch, BUDGET, listener);
+        assertThat(listener.awaitEnd()).startsWith("{");
+        Execution execution = target.executions().get(0);
+        assertThat(execution.attemptId()).isEqualTo(dispatch.attempt().toString());
+        assertThat(execution.requestId()).isEqualTo("r7");
+        assertThat(execution.priority()).isEqualTo("4");
+        assertThat(Long.parseLong(execution.deadlineMillis())).isBetween(1L, BUDGET.toMillis());
+    }
+
+    /** Guards against parts of a stream lost or repeated, with and without resume. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 25})
+    void streamIsPassedOnFromTheOffset(int offset) throws Exception {
+        start(TargetProfile.of("t1", TargetKind.ENGINE));
+        RecordingTargetListener listener = new RecordingTargetListener();
+        client().call(dispatch(1, true, true, offset), BUDGET, listener);
+        String whole = listener.awaitEnd();
+        assertThat(whole.lines()).hasSize(20);
+        assertThat(whole).endsWith("\n");
+        assertThat(listener.streamed()).isEqualTo(whole.substring(offset));
+    }
+
+    /** Guards against a cut stream that is taken for a finished one. */
+    @Test
+    void cutStreamIsAFailure() throws Exception {
+        start(TargetProfile.of("t1", TargetKind.ENGINE));
+        target.fault(TargetFault.CUT_DURING_BODY, 1);
+        RecordingTargetListener listener = new RecordingTargetListener();
+        client().call(dispatch(1, true, true, 0), BUDGET, listener);
+        assertThat(listener.awaitEnd()).isEqualTo("LINK_LOST YES");
+        assertThat(listener.streamed()).isNotEmpty();
+    }
+
+    /** Guards against a call that outlives its budget or goes on after nobody waits for it. */
+    @ParameterizedTest
+    @CsvSource({"true, CANCELLED UNKNOWN", "false, STAGE_TIMEOUT UNKNOWN"})
+    void endedCallIsCancelledAtTheTarget(boolean cancel, String end) throws Exception {
+        start(TargetProfile.of("t1", TargetKind.STAGE).withService(60_000, 1, 1));
+        RecordingTargetListener listener = new RecordingTargetListener();
+        Duration budget = cancel ? BUDGET : Duration.ofMillis(300);
+        TargetCall call = client().call(dispatch(1, true, false, 0), budget, listener);
+        TestWaits.await(
+                "run", () -> !target.executions().isEmpty() || !listener.ends().isEmpty());
+        if (cancel) {
+            call.cancel();
+        }
+        assertThat(listener.awaitEnd()).isEqualTo(end);
+        TestWaits.await("cancellation", () -> target.executions().get(0).state() == ExecutionState.CANCELLED_RUNNING);
+    }
+
+    private void start(TargetProfile profile) throws IOException {
+        target = new TargetStandIn(new InetSocketAddress("127.0.0.1", 0), profile);
+        target.start();
+    }
+
+    private HttpTargetClient client() {
+        return new HttpTargetClient(loop.eventloop(), "t1", target.address(), TimeSource.system());
+    }
+
+    private static StageDispatch dispatch(long counter, boolean idempotent, boolean streaming, long offset) {
+        return new StageDispatch(
+                new AttemptId(new Incarnation(1, 2), counter),
+                "r" + counter,
+                "workspace-1",
+                "pipeline-1",
+                0,
+                "t1",
+                new Incarnation(3, 4),
+                idempotent,
+                4,
+                1,
+                BUDGET.toMillis() * 1_000,
+                0,
+                streaming,
+                offset,
+                0,
+                Payload.ofUtf8("{\"operation\":\"op-" + counter + "\",\"prompt\":\"p\"}"));
+    }
+}
--- /dev/null
+++ b/masticfold-agent/src/test/java/io/masticfold/agent/SseDecoderProperties.java
@@ -0,0 +1,77 @@
+package io.masticfold.agent;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards the decoding of streamed answers against the way a network splits them. */
+final class SseDecoderProperties {
+
+    /** Guards against tokens lost, doubled or joined where a read ends within an event. */
+    @Property(seed = "5")
+    void anySplitGivesTheSameResult(
+            @ForAll @Size(max = 12) List<@IntRange(max = 9_999) Integer> tokens,
+            @ForAll @IntRange(min = 1, max = 40) int step,
+            @ForAll @IntRange(max = 2) int lineEnd) {
+        String end = List.of("\n", "\r\n", "\r").get(lineEnd);
+        StringBuilder stream = new StringBuilder(": comment" + end + end);
+        StringBuilder expected = new StringBuilder();
+        tokens.forEach(token -> {
+            stream.append("event: token" + end + "id: 3" + end + "data: \"é" + token + '"' + end + end);
+            expected.append("\"é" + token + "\"\n");
+        });
+        stream.append("event: end" + end + "data: {}" + end + end);
+
+        SseDecoder decoder = new SseDecoder();
+        ByteArrayOutputStream result = new ByteArrayOutputStream();
+        byte[] bytes = stream.toString().getBytes(StandardCharsets.UTF_8);
+        for (int offset = 0; offset < bytes.length; offset += step) {
+            assertThat(decoder.state().open()).isEqualTo(offset <= bytes.length - end.length());
+            decoder.decode(bytes, offset, Math.min(step, bytes.length - offset));
+            result.writeBytes(decoder.takeResult());
+        }
+        assertThat(decoder.state()).isEqualTo(SseState.ENDED);
+        assertThat(result.toString(StandardCharsets.UTF_8)).isEqualTo(expected.toString());
+    }
+
+    /** Guards against a stream taken for finished without its end mark, and against unbounded lines. */
+    @ParameterizedTest
+    @CsvSource({
+        "'event: token|data: 1|', OPEN, ''",
+        "'event: token|data: 1||', OPEN, '1|'",
+        "'event: token|data: 1|data: 2||', OPEN, '1|2|'",
+        "'event: end|', OPEN, ''",
+        "'event: end||', ENDED, ''",
+        "'event: end||event: token|data: 1||', ENDED, ''",
+        "'event: error|data: {}||', FAILED, ''",
+        "'event: ping|data: 1||data: 2||', OPEN, ''"
+    })
+    void onlyTheEndMarkEnds(String stream, SseState state, String result) {
+        SseDecoder decoder = decoded(stream.replace('|', '\n'));
+        assertThat(decoder.state()).isEqualTo(state);
+        assertThat(new String(decoder.takeResult(), StandardCharsets.UTF_8)).isEqualTo(result.replace('|', '\n'));
+    }
+
+    /** Guards the agent's memory against a target that sends a line without end. */
+    @ParameterizedTest
+    @CsvSource({"0, OPEN", "1, MALFORMED"})
+    void longLineIsMalformed(int excess, SseState state) {
+        assertThat(decoded("x".repeat(SseDecoder.MAX_LINE_BYTES + excess)).state())
+                .isEqualTo(state);
+    }
+
+    private static SseDecoder decoded(String stream) {
+        SseDecoder decoder = new SseDecoder();
+        byte[] bytes = stream.getBytes(StandardCharsets.UTF_8);
+        decoder.decode(bytes, 0, bytes.length);
+        return decoder;
+    }
+}
