--- a/masticfold-agent/src/main/java/io/masticfold/agent/AgentDaemon.java
+++ b/masticfold-agent/src/main/java/io/masticfold/agent/AgentDaemon.java
@@ -30,6 +30,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -54,7 +55,7 @@
     private final AgentGate gate;
     private final LoadPoller poller;
     private final WireServer server;
-    private volatile AgentPhase phase = AgentPhase.STARTING;
+    private final AtomicReference<AgentPhase> phase = new AtomicReference<>(AgentPhase.STARTING);
     private volatile @Nullable HttpServer admin;
 
     /** Creates an agent that neither listens nor calls its target until it is started. */
@@ -83,7 +84,7 @@
 
         @Override
         public boolean leaving() {
-            return phase.leaving();
+            return phase.get().leaving();
         }
     }
 
@@ -118,7 +119,7 @@
             loop.stop();
             throw new IOException("cannot listen on " + settings.admin(), e);
         }
-        phase = AgentPhase.SERVING;
+        phase.set(AgentPhase.SERVING);
         try {
             server.start();
         } catch (IOException e) {
@@ -145,10 +146,9 @@
      * bound of the settings and closes all connections.
      */
     public void stop() {
-        if (phase != AgentPhase.SERVING) {
+        if (!phase.compareAndSet(AgentPhase.SERVING, AgentPhase.LEAVING)) {
             return;
         }
-        phase = AgentPhase.LEAVING;
         AgentEvent.LEAVING.log(LOGGER, settings.name(), gate.inFlight());
         gate.startLeaving();
         server.announce();
@@ -158,7 +158,7 @@
     }
 
     private void abandon() {
-        phase = AgentPhase.STOPPED;
+        phase.set(AgentPhase.STOPPED);
         server.stop();
         try {
             loop.run(this::stopOnLoop);
@@ -210,7 +210,8 @@
 
     /** Returns whether the agent takes new work: it is serving and knows its target. */
     private boolean ready() {
-        return phase.ready() && config.snapshot().target(settings.target()).isPresent();
+        return phase.get().ready()
+                && config.snapshot().target(settings.target()).isPresent();
     }
 
     /** Returns the address for entries. */
@@ -251,7 +252,7 @@
                 .put("zone", settings.zone())
                 .put("region", settings.region())
                 .put("target", settings.target())
-                .put("phase", phase.name().toLowerCase(Locale.ROOT))
+                .put("phase", phase.get().name().toLowerCase(Locale.ROOT))
                 .put("configRevision", snapshot.revision())
                 .put("configDigest", Long.toHexString(snapshot.digest()));
         status.putObject("load")
--- a/masticfold-agent/src/main/java/io/masticfold/agent/HttpTargetCall.java
+++ b/masticfold-agent/src/main/java/io/masticfold/agent/HttpTargetCall.java
@@ -307,13 +307,10 @@
         }
     }
 
+    /** Reads the rest of an answer, so that its connection can be kept. The message owns the body it loads. */
     private static void discard(@Nullable HttpResponse response) {
         if (response != null) {
-            response.loadBody(MAX_BODY_BYTES).subscribe((body, _failure) -> {
-                if (body != null) {
-                    body.recycle();
-                }
-            });
+            response.loadBody(MAX_BODY_BYTES);
         }
     }
 }
