Add the bench: scenarios, policies and an open-loop client

Cause: the policies must be measured against simpler ones with real entries and agents. Ruled out: closed-loop clients, because a slow answer would hold back later requests and hide delay.

--- a/masticfold-cli/src/main/java/io/masticfold/cli/Masticfold.java
+++ b/masticfold-cli/src/main/java/io/masticfold/cli/Masticfold.java
@@ -1,5 +1,6 @@
 package io.masticfold.cli;
 
+import io.masticfold.cli.bench.BenchCommand;
 import io.masticfold.cli.command.Command;
 import io.masticfold.cli.command.CommandException;
 import io.masticfold.cli.command.ExitCode;
@@ -42,6 +43,7 @@
             new ZoneCommand(),
             new TargetCommand(),
             new StatusCommand(),
+            new BenchCommand(),
             new VersionCommand());
 
     private Masticfold() {}
--- a/masticfold-entry/src/main/java/io/masticfold/entry/EntryDaemon.java
+++ b/masticfold-entry/src/main/java/io/masticfold/entry/EntryDaemon.java
@@ -48,6 +48,7 @@
 import io.masticfold.wire.WireClient;
 import io.masticfold.wire.WireEnvironment;
 import io.masticfold.wire.WireIdentity;
+import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.security.SecureRandom;
@@ -193,6 +194,11 @@
         return links.status();
     }
 
+    /** Returns the counters and timers of the entry. */
+    public MeterRegistry meters() {
+        return metrics;
+    }
+
     /**
      * Stops gracefully: turns readiness off, keeps taking requests for the drain delay, then refuses new ones, ends those
      * in progress and closes everything.
