Make the cut stream of the fake agent notice kept parts

Cause: the part that a cut stream left behind a gap was shorter than the chunk in its place, so the resumed stream replaced it and a runner that kept it went unnoticed (trial with a deliberate fault on a scratch copy).

Change: the part is longer than the chunk in its place.

Ruled out: nothing.

Measured: mvn -B -q verify -pl masticfold-core -am passes.

Conclusion: the runner needed no change.

--- a/masticfold-core/src/test/java/io/masticfold/core/pipeline/FakeAgent.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/pipeline/FakeAgent.java
@@ -94,8 +94,8 @@
             case BREAK -> end(dispatch, listener, new StageFailed(ErrorKind.TARGET_UNREACHABLE, Ran.UNKNOWN), SERVICE);
             case CUT -> {
                 listener.chunk(dispatch.resumeOffset(), chunk(tail, 0));
-                // A part behind a gap that no other run of the stage repeats.
-                listener.chunk(dispatch.resumeOffset() + 2 * CHUNK_BYTES, Payload.ofUtf8("?"));
+                // A part behind a gap that no other run of the stage repeats, longer than the chunk in its place.
+                listener.chunk(dispatch.resumeOffset() + 2 * CHUNK_BYTES, Payload.ofUtf8("?????"));
                 end(dispatch, listener, new StageFailed(ErrorKind.TARGET_UNREACHABLE, Ran.UNKNOWN), SERVICE);
             }
             default -> {
