Fail the gate's tests when the gate throws inside

Cause: a mutant without the phase check at the start of an attempt survived. It threw inside the gate, where exceptions are caught so that the other actions go on, and no test looked at that counter. The case SEALED of theLastChecksStopAStartThatWasAlreadyDecided hid the same way that its own check of the seal's answer threw: inside an action the answer comes later.

Change: the fixture collects the counted faults; each test of the gate and each step of a history demands that there are none. The case SEALED checks the answer after the fact. Histories cancel all attempts in the gap before a call.

Ruled out: letting exceptions of listeners pass through the gate; one faulty link must not stop the others.

Conclusion: faults inside the gate are visible to tests now.

--- a/masticfold-core/src/test/java/io/masticfold/core/gate/AgentGateTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/gate/AgentGateTests.java
@@ -17,9 +17,11 @@
 import io.masticfold.core.model.Zone;
 import io.masticfold.core.model.ZoneState;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -34,6 +36,12 @@
 
     private final GateFixture fixture = GateFixture.configured();
     private final FakeTarget target = fixture.target();
+    private final List<SealOutcome> seals = new ArrayList<>();
+
+    @AfterEach
+    void theGateThrewNothing() {
+        assertThat(fixture.faults()).isEmpty();
+    }
 
     /** Lists a change that stops new work, with the refusal it leads to. */
     static Stream<Arguments> stops() {
@@ -178,6 +186,8 @@
                 .isInstanceOfSatisfying(StageRefused.class, refused -> assertThat(refused.kind())
                         .isEqualTo(kind));
         assertThat(target.executions()).containsExactly(first.attempt());
+        assertThat(seals).allSatisfy(outcome -> assertThat(outcome.state()).isEqualTo(SealOutcome.State.NOT_RUN));
+        assertThat(seals).hasSize(kind == ErrorKind.SEALED ? 1 : 0);
         assertThat(fixture.gate().inFlight()).isZero();
     }
 
@@ -186,9 +196,7 @@
             case ZONE_OUT -> fixture.put(ZONE_OUT);
             case TARGET_LEAVING -> fixture.gate().startLeaving();
             case DEADLINE_EXPIRED -> fixture.scheduler().pause(Duration.ofSeconds(2));
-            default ->
-                assertThat(fixture.seal(second.attempt(), GateFixture.AGENT).state())
-                        .isEqualTo(SealOutcome.State.NOT_RUN);
+            default -> fixture.gate().seal(second.attempt(), GateFixture.AGENT, seals::add);
         }
     }
 
--- a/masticfold-core/src/test/java/io/masticfold/core/gate/GateFixture.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/gate/GateFixture.java
@@ -31,6 +31,7 @@
     private final ManualScheduler scheduler = new ManualScheduler();
     private final ConfigReplica config = new ConfigReplica();
     private final FakeTarget target = new FakeTarget();
+    private final List<String> faults = new ArrayList<>();
     private AgentGate gate;
     private long version;
     private long counter;
@@ -81,7 +82,15 @@
 
     private AgentGate gate(Incarnation incarnation, LedgerSettings ledger) {
         AgentGateSettings settings = AgentGateSettings.of(TARGET, incarnation).withLedger(ledger);
-        return new AgentGate(settings, config, target, scheduler, Telemetry.NONE);
+        Telemetry telemetry = new Telemetry() {
+            @Override
+            public void count(String event) {
+                if (event.endsWith("_failed")) {
+                    faults.add(event);
+                }
+            }
+        };
+        return new AgentGate(settings, config, target, scheduler, telemetry);
     }
 
     AgentGate gate() {
@@ -92,6 +101,11 @@
         return target;
     }
 
+    /** Returns the exceptions that the gate caught and counted; a correct gate throws none. */
+    List<String> faults() {
+        return faults;
+    }
+
     ManualScheduler scheduler() {
         return scheduler;
     }
--- a/masticfold-core/src/test/java/io/masticfold/core/gate/GateHistory.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/gate/GateHistory.java
@@ -33,7 +33,7 @@
         GateStep.Action.PAUSE,
         GateStep.Action.ZONE,
         GateStep.Action.TARGET,
-        GateStep.Action.CANCEL,
+        GateStep.Action.CANCEL_ALL,
         GateStep.Action.REBOOT
     };
 
@@ -75,6 +75,7 @@
             case SEAL -> seal(step);
             case SEAL_UNSEEN -> settle(newId(step), agent);
             case CANCEL -> cancel(step);
+            case CANCEL_ALL -> List.copyOf(sent).forEach(one -> fixture.gate().cancel(one.attempt()));
             case COMPLETE -> complete(step);
             case FAIL -> fail(step);
             case ADVANCE -> fixture.scheduler().advance(Duration.ofMillis(step.value() * 10L));
@@ -121,6 +122,7 @@
     }
 
     private void checkAnswers() {
+        assertThat(fixture.faults()).as("exceptions in the gate").isEmpty();
         for (int i = 0; i < sent.size(); i++) {
             RecordingListener listener = listeners.get(i);
             AttemptId attempt = sent.get(i).attempt();
--- a/masticfold-core/src/test/java/io/masticfold/core/gate/GateStep.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/gate/GateStep.java
@@ -17,6 +17,7 @@
         SEAL,
         SEAL_UNSEEN,
         CANCEL,
+        CANCEL_ALL,
         COMPLETE,
         FAIL,
         ADVANCE,
