--- a/masticfold-core/src/test/java/io/masticfold/core/gate/AgentGateTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/gate/AgentGateTests.java
@@ -10,14 +10,18 @@
 import io.masticfold.core.attempt.StageDispatch;
 import io.masticfold.core.attempt.StageFailed;
 import io.masticfold.core.attempt.StageRefused;
+import io.masticfold.core.attempt.Temperature;
 import io.masticfold.core.error.ErrorKind;
 import io.masticfold.core.error.Ran;
 import io.masticfold.core.model.TargetState;
 import io.masticfold.core.model.Zone;
 import io.masticfold.core.model.ZoneState;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -32,6 +36,12 @@
 
     private final GateFixture fixture = GateFixture.configured();
     private final FakeTarget target = fixture.target();
+    private final List<SealOutcome> seals = new ArrayList<>();
+
+    @AfterEach
+    void theGateThrewNothing() {
+        assertThat(fixture.faults()).isEmpty();
+    }
 
     /** Lists a change that stops new work, with the refusal it leads to. */
     static Stream<Arguments> stops() {
@@ -165,7 +175,7 @@
         StageDispatch first = fixture.read();
         StageDispatch second = fixture.payment();
         // The listener of the first attempt runs between the decision to start the second and its call.
-        fixture.gate().dispatch(first, new InterruptingListener(() -> interrupt(kind, second)));
+        fixture.gate().dispatch(first, new RecordingListener(() -> interrupt(kind, second)));
         RecordingListener listener = fixture.send(second);
 
         target.complete(first.attempt(), "out");
@@ -176,6 +186,8 @@
                 .isInstanceOfSatisfying(StageRefused.class, refused -> assertThat(refused.kind())
                         .isEqualTo(kind));
         assertThat(target.executions()).containsExactly(first.attempt());
+        assertThat(seals).allSatisfy(outcome -> assertThat(outcome.state()).isEqualTo(SealOutcome.State.NOT_RUN));
+        assertThat(seals).hasSize(kind == ErrorKind.SEALED ? 1 : 0);
         assertThat(fixture.gate().inFlight()).isZero();
     }
 
@@ -184,10 +196,33 @@
             case ZONE_OUT -> fixture.put(ZONE_OUT);
             case TARGET_LEAVING -> fixture.gate().startLeaving();
             case DEADLINE_EXPIRED -> fixture.scheduler().pause(Duration.ofSeconds(2));
-            default ->
-                assertThat(fixture.seal(second.attempt(), GateFixture.AGENT).state())
-                        .isEqualTo(SealOutcome.State.NOT_RUN);
+            default -> fixture.gate().seal(second.attempt(), GateFixture.AGENT, seals::add);
+        }
+    }
+
+    @Test
+    void aLimitThatFallsBeforeTheCallPutsTheAttemptBackInTheQueue() {
+        fixture.report("b1", Temperature.WARM, 0);
+        for (int i = 0; i < 4; i++) {
+            StageDispatch warming = fixture.read();
+            fixture.send(warming);
+            target.complete(warming.attempt(), "out");
         }
+        StageDispatch first = fixture.read();
+        fixture.gate().dispatch(first, new RecordingListener(() -> fixture.report("b1", Temperature.COLD, 0)));
+        List<StageDispatch> running = Stream.generate(fixture::read).limit(3).toList();
+        running.forEach(fixture::send);
+        StageDispatch waiting = fixture.payment();
+        RecordingListener listener = fixture.send(waiting);
+
+        target.complete(first.attempt(), "out");
+
+        assertThat(target.executions()).doesNotContain(waiting.attempt());
+        assertThat(fixture.gate().load().queued()).isEqualTo(1);
+        assertThat(fixture.gate().inFlight()).isEqualTo(3);
+        running.forEach(run -> target.complete(run.attempt(), "out"));
+        target.complete(waiting.attempt(), "out");
+        assertThat(listener.outcomes()).hasSize(1).first().isInstanceOf(StageCompleted.class);
     }
 
     @Test
