Check the settlement of lost writes and racing operators

Cause: the claims of SettledWriter and FieldChange concern interleavings that the tests against the stand-in do not reach.

Change: both work on the ObjectAccess interface, and a fake places other writes, lost answers and late writes between theirs. States are printed as in files, in lower case; a first run of FieldChangeTests failed on that.

Ruled out: delays at the stand-in, because the verdict would depend on the wall clock.

--- a/masticfold-cli/src/main/java/io/masticfold/cli/client/PlatformSession.java
+++ b/masticfold-cli/src/main/java/io/masticfold/cli/client/PlatformSession.java
@@ -27,7 +27,7 @@
 import java.util.function.Consumer;
 
 /** Makes blocking calls for one command. */
-public final class PlatformSession implements AutoCloseable {
+public final class PlatformSession implements ObjectAccess, AutoCloseable {
 
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(3);
     private static final Duration STATUS_TIMEOUT = Duration.ofSeconds(1);
@@ -45,12 +45,12 @@
         channel.start();
     }
 
-    /** Reads an object. */
+    @Override
     public StoreReply get(String kind, String name) throws CommandException {
         return await(reply -> store.get(kind, name, CALL_TIMEOUT, reply));
     }
 
-    /** Writes an object by conditional update. */
+    @Override
     public StoreReply put(String kind, String name, long expectedVersion, String changeId, String spec)
             throws CommandException {
         return await(reply -> store.put(kind, name, expectedVersion, changeId, spec, CALL_TIMEOUT, reply));
--- a/masticfold-cli/src/main/java/io/masticfold/cli/client/SettledWriter.java
+++ b/masticfold-cli/src/main/java/io/masticfold/cli/client/SettledWriter.java
@@ -14,11 +14,11 @@
 
     private static final int MAX_TRIES = 4;
 
-    private final PlatformSession session;
+    private final ObjectAccess objects;
 
-    /** Creates a writer for a session. */
-    public SettledWriter(PlatformSession session) {
-        this.session = session;
+    /** Creates a writer for a objects. */
+    public SettledWriter(ObjectAccess objects) {
+        this.objects = objects;
     }
 
     /**
@@ -32,7 +32,7 @@
             throws CommandException {
         String lost = null;
         for (int i = 0; i < MAX_TRIES; i++) {
-            StoreReply reply = session.put(kind, name, expectedVersion, changeId, spec);
+            StoreReply reply = objects.put(kind, name, expectedVersion, changeId, spec);
             WriteOutcome outcome = outcome(reply, changeId, lost);
             if (outcome != null) {
                 return outcome;
@@ -62,7 +62,7 @@
 
     private @Nullable WriteOutcome readBack(
             String kind, String name, long expectedVersion, String changeId, String lost) throws CommandException {
-        StoreReply reply = session.get(kind, name);
+        StoreReply reply = objects.get(kind, name);
         if (reply instanceof StoreReply.Found found) {
             return found.object().version() == expectedVersion ? null : named(found.object(), changeId, lost);
         }
--- a/masticfold-cli/src/main/java/io/masticfold/cli/operate/FieldChange.java
+++ b/masticfold-cli/src/main/java/io/masticfold/cli/operate/FieldChange.java
@@ -1,7 +1,7 @@
 package io.masticfold.cli.operate;
 
 import io.masticfold.cli.client.ChangeIds;
-import io.masticfold.cli.client.PlatformSession;
+import io.masticfold.cli.client.ObjectAccess;
 import io.masticfold.cli.client.SettledWriter;
 import io.masticfold.cli.client.WriteOutcome;
 import io.masticfold.cli.command.CommandException;
@@ -45,9 +45,9 @@
      * @return the version that has the wanted value
      * @throws CommandException if the object does not exist, or the change was refused or could not be settled
      */
-    long apply(PlatformSession session, ObjectKey key, PrintStream out) throws CommandException {
+    long apply(ObjectAccess objects, ObjectKey key, PrintStream out) throws CommandException {
         String changeId = ChangeIds.next();
-        StoredObject current = read(session, key);
+        StoredObject current = read(objects, key);
         Enum<?> before = field.apply(decode(key, current));
         for (int i = 0; i < MAX_TRIES; i++) {
             S spec = decode(key, current);
@@ -59,7 +59,7 @@
                 out.println(key + " unchanged, " + code(before) + " since version " + current.version());
                 return current.version();
             }
-            WriteOutcome outcome = new SettledWriter(session)
+            WriteOutcome outcome = new SettledWriter(objects)
                     .write(key.kind().code(), key.name(), current.version(), changeId, codec.encode(changed));
             if (outcome instanceof WriteOutcome.Accepted accepted) {
                 out.println(key + " " + code(field.apply(changed)) + ", version " + accepted.version() + ", change "
@@ -71,8 +71,8 @@
         throw new CommandException(ExitCode.CONFLICT, key + " not changed: it changes too often");
     }
 
-    private static StoredObject read(PlatformSession session, ObjectKey key) throws CommandException {
-        StoreReply reply = session.get(key.kind().code(), key.name());
+    private static StoredObject read(ObjectAccess objects, ObjectKey key) throws CommandException {
+        StoreReply reply = objects.get(key.kind().code(), key.name());
         if (reply instanceof StoreReply.Found found) {
             return found.object();
         } else if (reply instanceof StoreReply.Absent) {
@@ -98,7 +98,7 @@
         return new CommandException(
                 ExitCode.CONFLICT,
                 key + " not changed: change " + current.changeId() + " of version " + current.version() + " set it to "
-                        + value);
+                        + code(value));
     }
 
     private static String code(Enum<?> value) {
