--- a/masticfold-platform/src/main/java/io/masticfold/platform/http/NumericDnsClient.java
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/http/NumericDnsClient.java
@@ -9,7 +9,7 @@
 import io.activej.promise.Promise;
 
 /** Resolves numeric addresses only. */
-final class NumericDnsClient implements IDnsClient {
+public final class NumericDnsClient implements IDnsClient {
 
     @Override
     public Promise<DnsResponse> resolve(DnsQuery query) {
