Let every kind of interruption occur in the random histories

Cause: interruptions happen at every third dispatch and were chosen by the same number modulo six, so only a report and a change of the target ever occurred; the mutant without the phase check was found by one case only, by neither property.

Change: the choice uses the number divided by three.

Ruled out: nothing.

Measured: `mvn -B verify -pl masticfold-core -am`: 154 tests pass, both properties in 8.9 s. The mutant was not run again with this change.

Conclusion: pauses, zone changes, restarts of the target and cancels now fall between the decision and the call too.

--- a/masticfold-core/src/test/java/io/masticfold/core/gate/GateHistory.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/gate/GateHistory.java
@@ -143,7 +143,7 @@
     private void send(StageDispatch dispatch) {
         sent.add(dispatch);
         int index = sent.size();
-        GateStep.Action action = INTERRUPTIONS[index % INTERRUPTIONS.length];
+        GateStep.Action action = INTERRUPTIONS[index / 3 % INTERRUPTIONS.length];
         Incarnation sender = agent;
         RecordingListener listener = new RecordingListener(() -> {
             if (index % 3 == 0 && sender.equals(agent)) {
