Keep the order of a stream when writes change the writability

Cause: a write can make the connection unwritable and Netty reports that from within the write. InboundAttempt had taken the part out of its buffer and not yet put the rest back, so the nested call found the buffer empty and sent the outcome before the rest of the stream. The entry then failed the attempt as incomplete.

Change: the buffer is settled before a part is sent, and a nested call does nothing.

Ruled out: a larger high-water mark. It makes the case rarer and leaves it in place.

Conclusion: a stream arrives in order on a narrow connection.

--- a/masticfold-wire/src/main/java/io/masticfold/wire/InboundAttempt.java
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/InboundAttempt.java
@@ -45,6 +45,7 @@
     private long window = WireLimits.STREAM_WINDOW_BYTES;
     private int waitingBytes;
     private @Nullable Frame end;
+    private boolean flushing;
     private boolean ended;
 
     InboundAttempt(AgentConnection connection, StageDispatch dispatch) {
@@ -114,11 +115,19 @@
         flush();
     }
 
-    /** Sends what the window and the connection allow, then the outcome. */
+    /**
+     * Sends what the window and the connection allow, then the outcome. A write may change the writability and so call
+     * this method again from within; the inner call does nothing, because the outer one goes on.
+     */
     void flush() {
+        if (flushing) {
+            return;
+        }
+        flushing = true;
         while (!waiting.isEmpty() && window > 0 && connection.writable()) {
             sendPart(waiting.remove());
         }
+        flushing = false;
         Frame outcome = end;
         if (waiting.isEmpty() && outcome != null && !ended) {
             ended = true;
@@ -129,13 +138,13 @@
 
     private void sendPart(Part part) {
         int size = (int) Math.min(Math.min(part.bytes().size(), window), WireLimits.MAX_CHUNK_BYTES);
-        connection.send(WireMessages.chunk(
-                dispatch.attempt(), part.offset(), part.bytes().substring(0, size)));
         window -= size;
         waitingBytes -= size;
         if (size < part.bytes().size()) {
             waiting.addFirst(new Part(part.offset() + size, part.bytes().substring(size)));
         }
+        connection.send(WireMessages.chunk(
+                dispatch.attempt(), part.offset(), part.bytes().substring(0, size)));
     }
 
     /** Drops everything that still waits, because the link is lost. */
--- /dev/null
+++ b/masticfold-wire/src/test/java/io/masticfold/wire/HandshakeTests.java
@@ -0,0 +1,258 @@
+package io.masticfold.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.UnknownFieldSet;
+import io.masticfold.core.attempt.TargetLoad;
+import io.masticfold.wire.proto.Frame;
+import io.masticfold.wire.proto.Hello;
+import io.netty.buffer.Unpooled;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Guards both sides against peers that cannot prove their identity, and against foreign bytes. */
+final class HandshakeTests {
+
+    private static final SharedSecret SECRET = SharedSecret.ofUtf8(EmbeddedPeer.SECRET);
+
+    private static final UnknownFieldSet UNKNOWN_FIELD = UnknownFieldSet.newBuilder()
+            .addField(99, UnknownFieldSet.Field.newBuilder().addVarint(1).build())
+            .build();
+
+    private final RecordingHandler handler = new RecordingHandler();
+
+    private EmbeddedPeer agent() {
+        return new EmbeddedPeer(
+                PeerRole.AGENT,
+                environment -> peer -> new AgentConnection(
+                        environment,
+                        new ConfigDeltas(environment.codec()),
+                        peer,
+                        new WireServer(environment, new InetSocketAddress("127.0.0.1", 0), handler, new Idle(), 1),
+                        handler,
+                        new Idle()));
+    }
+
+    private static EmbeddedPeer entry() {
+        return new EmbeddedPeer(PeerRole.ENTRY, _environment -> peer -> {
+            throw new AssertionError("authenticated " + peer);
+        });
+    }
+
+    /** Reports nothing. */
+    private static final class Idle implements AgentState {
+
+        @Override
+        public TargetLoad load() {
+            return TargetLoad.UNKNOWN;
+        }
+
+        @Override
+        public boolean leaving() {
+            return false;
+        }
+    }
+
+    private static byte[] entryProof(String secret, Hello mine, Hello theirs) {
+        return HandshakeProof.compute(SharedSecret.ofUtf8(secret), PeerRole.ENTRY, mine, theirs);
+    }
+
+    /** Guards against an agent that gives a proof to, or works for, an entry with another secret. */
+    @ParameterizedTest
+    @CsvSource({"secret, true", "Secret, false", "other, false"})
+    void onlyTheSharedSecretIsAccepted(String secret, boolean accepted) throws IOException {
+        EmbeddedPeer agent = agent();
+        Hello mine = EmbeddedPeer.hello(PeerRole.ENTRY, 1);
+        agent.send(EmbeddedPeer.frame(mine));
+        Hello theirs = agent.received().get(0).getHello();
+        agent.send(EmbeddedPeer.proof(entryProof(secret, mine, theirs)));
+        assertThat(agent.received().stream().map(Frame::getMessageCase))
+                .containsExactlyElementsOf(
+                        accepted ? List.of(Frame.MessageCase.PROOF, Frame.MessageCase.HEARTBEAT) : List.of());
+        assertThat(agent.open()).isEqualTo(accepted);
+        assertThat(agent.telemetry.value("handshake_rejected")).isEqualTo(accepted ? 0 : 1);
+    }
+
+    /** Guards against a recorded handshake that is played again. */
+    @Test
+    void replayedHandshakeIsRejected() throws IOException {
+        EmbeddedPeer first = agent();
+        Hello mine = EmbeddedPeer.hello(PeerRole.ENTRY, 1);
+        first.send(EmbeddedPeer.frame(mine));
+        Frame recorded = EmbeddedPeer.proof(
+                entryProof("secret", mine, first.received().get(0).getHello()));
+        first.send(recorded);
+        assertThat(first.open()).isTrue();
+
+        EmbeddedPeer second = agent();
+        second.send(EmbeddedPeer.frame(mine));
+        second.send(recorded);
+        assertThat(second.open()).isFalse();
+        assertThat(second.telemetry.value("handshake_rejected")).isOne();
+    }
+
+    /** Guards an entry against a peer that sends the entry's own messages back to it. */
+    @ParameterizedTest
+    @CsvSource({"true, entry, 0", "true, agent, 0", "false, agent, 1"})
+    void reflectedHandshakeIsRejected(boolean sameNonce, String role, int proofs) throws IOException {
+        EmbeddedPeer entry = entry();
+        Hello theirs = entry.received().get(0).getHello();
+        Hello reflected = theirs.toBuilder()
+                .setRole(role)
+                .setNonce(
+                        sameNonce
+                                ? theirs.getNonce()
+                                : EmbeddedPeer.hello(PeerRole.AGENT, 1).getNonce())
+                .build();
+        entry.send(EmbeddedPeer.frame(reflected));
+        List<Frame> answers = entry.received();
+        assertThat(answers).hasSize(proofs);
+        answers.forEach(entry::send);
+        assertThat(entry.open()).isFalse();
+        assertThat(entry.telemetry.value("handshake_rejected")).isOne();
+    }
+
+    static Stream<Frame> unexpectedFrames() {
+        return Stream.of(
+                WireMessages.dispatch(WireFixture.dispatch(1, true, false), 0),
+                EmbeddedPeer.heartbeat(),
+                EmbeddedPeer.proof(new byte[32]),
+                Frame.newBuilder().setUnknownFields(UNKNOWN_FIELD).build(),
+                EmbeddedPeer.frame(EmbeddedPeer.hello(PeerRole.AGENT, 1)),
+                EmbeddedPeer.frame(EmbeddedPeer.hello(PeerRole.ENTRY, 1).toBuilder()
+                        .setProtocol(WireLimits.PROTOCOL + 1)
+                        .build()),
+                EmbeddedPeer.frame(EmbeddedPeer.hello(PeerRole.ENTRY, 1).toBuilder()
+                        .clearNonce()
+                        .build()),
+                EmbeddedPeer.frame(EmbeddedPeer.hello(PeerRole.ENTRY, 1).toBuilder()
+                        .clearProcess()
+                        .build()));
+    }
+
+    /** Guards against work or any other message accepted before a valid proof. */
+    @ParameterizedTest
+    @MethodSource("unexpectedFrames")
+    void unexpectedFrameClosesTheConnection(Frame frame) throws IOException {
+        EmbeddedPeer agent = agent();
+        agent.send(frame);
+        assertThat(agent.open()).isFalse();
+        assertThat(agent.received()).isEmpty();
+        assertThat(agent.telemetry.value("handshake_rejected")).isOne();
+        assertThat(handler.dispatches()).isEmpty();
+    }
+
+    static Stream<byte[]> foreignBytes() {
+        return Stream.of(
+                "GET / HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII),
+                new byte[] {0, 0, 0, 0},
+                new byte[] {-1, -1, -1, -1},
+                new byte[] {0, 0, 0, 3, 9, 9, 9},
+                new byte[] {0, 0x20, 0, 1},
+                new byte[] {0, 0, 0, 2, 0x0A, 0x7F});
+    }
+
+    /** Guards against bytes that are no frame, before and after the handshake. */
+    @ParameterizedTest
+    @MethodSource("foreignBytes")
+    void foreignBytesCloseTheConnection(byte[] bytes) throws IOException {
+        EmbeddedPeer before = agent();
+        before.sendBytes(Unpooled.wrappedBuffer(bytes));
+        assertThat(before.open()).isFalse();
+        assertThat(before.telemetry.value("frame_rejected")).isOne();
+
+        EmbeddedPeer after = agent().authenticate();
+        after.sendBytes(Unpooled.wrappedBuffer(bytes));
+        after.send(WireMessages.dispatch(WireFixture.dispatch(1, true, false), 0));
+        assertThat(after.open()).isFalse();
+        assertThat(after.telemetry.value("frame_rejected")).isOne();
+        assertThat(handler.dispatches()).isEmpty();
+    }
+
+    /** Guards the memory of an agent: a stranger may not send the frames an authenticated entry may. */
+    @ParameterizedTest
+    @CsvSource({"false, 5000, false", "true, 5000, true", "true, 2097152, true", "true, 2097153, false"})
+    void frameLimitDependsOnTheHandshake(boolean authenticated, int length, boolean open) throws IOException {
+        EmbeddedPeer agent = authenticated ? agent().authenticate() : agent();
+        agent.sendBytes(Unpooled.buffer().writeInt(length));
+        assertThat(agent.open()).isEqualTo(open);
+    }
+
+    /** Guards against connections that are kept open without a handshake. */
+    @Test
+    void handshakeTimesOut() {
+        EmbeddedPeer agent = agent();
+        agent.channel().advanceTimeBy(WireLimits.HANDSHAKE_TIMEOUT.toMillis() - 1, TimeUnit.MILLISECONDS);
+        agent.channel().runScheduledPendingTasks();
+        assertThat(agent.open()).isTrue();
+        agent.channel().advanceTimeBy(1, TimeUnit.MILLISECONDS);
+        agent.channel().runScheduledPendingTasks();
+        assertThat(agent.open()).isFalse();
+        assertThat(agent.telemetry.value("handshake_timed_out")).isOne();
+    }
+
+    /** Guards the server: strangers, also too many of them, must not keep entries out for longer than they stay. */
+    @Test
+    void serverOutlivesStrangers() throws IOException {
+        try (WireFixture fixture = new WireFixture("secret", "secret")) {
+            InetSocketAddress address = fixture.server.address();
+            try (Socket garbage = new Socket(address.getAddress(), address.getPort())) {
+                OutputStream out = garbage.getOutputStream();
+                out.write(new byte[] {-1, -1, -1, -1});
+                out.flush();
+                WireFixture.await("end of the connection", () -> fixture.agentTelemetry.value("frame_rejected") == 1);
+            }
+            Socket[] idle = new Socket[WireLimits.MAX_UNAUTHENTICATED + 1];
+            for (int i = 0; i < idle.length; i++) {
+                idle[i] = new Socket(address.getAddress(), address.getPort());
+            }
+            WireFixture.await("refused connection", () -> fixture.agentTelemetry.value("connection_limit") > 0);
+            for (Socket socket : idle) {
+                socket.close();
+            }
+            fixture.entryConfig.merge(List.of(fixture.target(1)));
+            fixture.awaitUsable();
+        }
+    }
+
+    /** Guards against a link that carries work although the secrets differ. */
+    @Test
+    void linkWithAnotherSecretIsNeverUsable() throws IOException {
+        try (WireFixture fixture = new WireFixture("other", "secret")) {
+            fixture.entryConfig.merge(List.of(fixture.target(1)));
+            WireFixture.await("two tries", () -> fixture.agentTelemetry.value("handshake_rejected") >= 2);
+            assertThat(fixture.client.link("t1").usable()).isFalse();
+            assertThat(fixture.server.connectedEntries()).isZero();
+        }
+    }
+
+    /** Guards against a proof that depends on less than role, names, incarnations and nonces. */
+    @Test
+    void proofCoversEverything() {
+        Hello entry = EmbeddedPeer.hello(PeerRole.ENTRY, 1);
+        Hello agent = EmbeddedPeer.hello(PeerRole.AGENT, 2);
+        byte[] proof = HandshakeProof.compute(SECRET, PeerRole.ENTRY, entry, agent);
+        assertThat(HandshakeProof.valid(proof, SECRET, PeerRole.ENTRY, entry, agent))
+                .isTrue();
+        assertThat(HandshakeProof.valid(proof, SECRET, PeerRole.AGENT, entry, agent))
+                .isFalse();
+        assertThat(HandshakeProof.valid(proof, SECRET, PeerRole.ENTRY, agent, entry))
+                .isFalse();
+        assertThat(Stream.of(
+                        entry.toBuilder().setProcess("stranges").build(),
+                        entry.toBuilder().setZone("zone-c").build(),
+                        entry.toBuilder().clearIncarnation().build(),
+                        EmbeddedPeer.hello(PeerRole.ENTRY, 3)))
+                .noneMatch(changed -> HandshakeProof.valid(proof, SECRET, PeerRole.ENTRY, changed, agent));
+    }
+}
--- /dev/null
+++ b/masticfold-wire/src/test/java/io/masticfold/wire/HeldWrites.java
@@ -0,0 +1,36 @@
+package io.masticfold.wire;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.channels.ClosedChannelException;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Holds writes back like a socket whose buffer is full; they fail when the channel is closed. */
+final class HeldWrites extends ChannelOutboundHandlerAdapter {
+
+    private final List<ChannelPromise> held = new ArrayList<>();
+    private boolean holding;
+
+    void hold() {
+        holding = true;
+    }
+
+    @Override
+    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+        if (holding) {
+            ReferenceCountUtil.release(message);
+            held.add(promise);
+        } else {
+            ctx.write(message, promise);
+        }
+    }
+
+    @Override
+    public void close(ChannelHandlerContext ctx, ChannelPromise promise) {
+        held.forEach(waiting -> waiting.tryFailure(new ClosedChannelException()));
+        ctx.close(promise);
+    }
+}
--- /dev/null
+++ b/masticfold-wire/src/test/java/io/masticfold/wire/InboundAttemptTests.java
@@ -0,0 +1,142 @@
+package io.masticfold.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.masticfold.core.attempt.AttemptId;
+import io.masticfold.core.attempt.Payload;
+import io.masticfold.core.attempt.StageCompleted;
+import io.masticfold.core.attempt.StageDispatch;
+import io.masticfold.core.attempt.StageFailed;
+import io.masticfold.core.attempt.StageOutcome;
+import io.masticfold.core.attempt.StageRefused;
+import io.masticfold.core.attempt.TargetLoad;
+import io.masticfold.core.error.ErrorKind;
+import io.masticfold.core.error.Ran;
+import io.masticfold.core.link.StageListener;
+import io.masticfold.wire.proto.Frame;
+import io.netty.channel.WriteBufferWaterMark;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards what an agent sends for its attempts, and what it does with them when the link is lost. */
+final class InboundAttemptTests {
+
+    private final RecordingHandler handler = new RecordingHandler();
+    private EmbeddedPeer agent;
+
+    @BeforeEach
+    void connect() throws IOException {
+        AgentState state = new AgentState() {
+            @Override
+            public TargetLoad load() {
+                return WireFixture.LOAD;
+            }
+
+            @Override
+            public boolean leaving() {
+                return false;
+            }
+        };
+        agent = new EmbeddedPeer(
+                        PeerRole.AGENT,
+                        environment -> peer -> new AgentConnection(
+                                environment,
+                                new ConfigDeltas(environment.codec()),
+                                peer,
+                                new WireServer(environment, new InetSocketAddress("127.0.0.1", 0), handler, state, 1),
+                                handler,
+                                state))
+                .authenticate();
+    }
+
+    private StageListener dispatched(long counter, boolean idempotent, boolean streaming) {
+        StageDispatch dispatch = WireFixture.dispatch(counter, idempotent, streaming);
+        agent.send(WireMessages.dispatch(dispatch, 0));
+        return handler.listener(dispatch.attempt());
+    }
+
+    /** Guards work that nobody waits for, and the results of work that must not be repeated. */
+    @ParameterizedTest
+    @CsvSource({"true, false, 1, 0", "true, true, 1, 0", "false, false, 0, 0", "false, true, 0, 1"})
+    void lossCancelsIdempotentWorkOnly(boolean idempotent, boolean streaming, int cancelled, int grants) {
+        dispatched(1, idempotent, streaming);
+        agent.channel().close();
+        agent.channel().runPendingTasks();
+        assertThat(handler.cancelled()).hasSize(cancelled);
+        assertThat(handler.grants()).hasSize(grants);
+    }
+
+    /** Guards against a second arrival that ends the attempt in progress with its own refusal. */
+    @Test
+    void duplicateOnTheSameLinkIsIgnored() throws IOException {
+        dispatched(1, false, false);
+        dispatched(1, false, false);
+        assertThat(handler.dispatches()).hasSize(1);
+        assertThat(agent.received()).isEmpty();
+        assertThat(agent.telemetry.value("attempt_message_ignored")).isOne();
+    }
+
+    /** Guards against "not run" said of an attempt of which only the copy was refused. */
+    @ParameterizedTest
+    @CsvSource({"DUPLICATE_ATTEMPT, FAILED", "SEALED, REFUSED", "QUEUE_FULL, REFUSED"})
+    void refusalOfACopyIsNoStatementAboutTheAttempt(ErrorKind kind, Frame.MessageCase frame) throws IOException {
+        dispatched(1, false, false).outcome(new StageRefused(kind, Duration.ZERO), WireFixture.LOAD);
+        assertThat(agent.received().stream().map(Frame::getMessageCase)).containsExactly(frame);
+    }
+
+    /** Guards the order of a stream when its own writes make the connection writable or not. */
+    @Test
+    void streamKeepsItsOrderOnANarrowConnection() throws IOException {
+        agent.channel().config().setWriteBufferWaterMark(new WriteBufferWaterMark(1_024, 4_096));
+        StageListener listener = dispatched(1, true, true);
+        listener.chunk(0, Payload.wrap(new byte[200_000]));
+        listener.chunk(200_000, Payload.wrap(new byte[10]));
+        listener.outcome(new StageCompleted(Payload.wrap(new byte[200_010]), 0), WireFixture.LOAD);
+        long offset = 0;
+        List<Frame> frames = agent.received();
+        for (Frame frame : frames.subList(0, frames.size() - 1)) {
+            assertThat(frame.getChunk().getOffset()).isEqualTo(offset);
+            offset += frame.getChunk().getBytes().size();
+        }
+        assertThat(offset).isEqualTo(200_010);
+        assertThat(frames).last().matches(Frame::hasEnd);
+    }
+
+    /** Guards the memory of the agent against a target client that does not stop at the window. */
+    @Test
+    void streamBeyondTheWindowIsCancelled() throws IOException {
+        StageListener listener = dispatched(1, true, true);
+        int part = WireLimits.STREAM_WINDOW_BYTES;
+        for (int i = 0; i < 4; i++) {
+            listener.chunk((long) i * part, Payload.wrap(new byte[part]));
+        }
+        listener.outcome(new StageCompleted(Payload.EMPTY, 0), WireFixture.LOAD);
+        List<Frame> frames = agent.received();
+        assertThat(frames.stream()
+                        .filter(Frame::hasChunk)
+                        .mapToInt(frame -> frame.getChunk().getBytes().size())
+                        .sum())
+                .isEqualTo(part);
+        assertThat(frames).last().matches(Frame::hasFailed);
+        assertThat(WireMessages.failed(frames.get(frames.size() - 1).getFailed()))
+                .isEqualTo(new StageFailed(ErrorKind.TARGET_FAILED, Ran.YES));
+        assertThat(handler.cancelled()).containsExactly(new AttemptId(WireFixture.ENTRY, 1));
+        assertThat(agent.telemetry.value("stream_window_exceeded")).isOne();
+    }
+
+    /** Guards the connection against a result that no frame can carry. */
+    @ParameterizedTest
+    @CsvSource({"2080768, END", "2080769, FAILED"})
+    void oversizedResultFails(int size, Frame.MessageCase frame) throws IOException {
+        StageOutcome outcome = new StageCompleted(Payload.wrap(new byte[size]), 0);
+        dispatched(1, false, false).outcome(outcome, WireFixture.LOAD);
+        assertThat(agent.received().stream().map(Frame::getMessageCase)).containsExactly(frame);
+        assertThat(agent.open()).isTrue();
+    }
+}
--- /dev/null
+++ b/masticfold-wire/src/test/java/io/masticfold/wire/LinkLossTests.java
@@ -0,0 +1,179 @@
+package io.masticfold.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import io.masticfold.core.attempt.AttemptId;
+import io.masticfold.core.attempt.Payload;
+import io.masticfold.core.attempt.SealOutcome;
+import io.masticfold.core.attempt.StageCompleted;
+import io.masticfold.core.attempt.StageDispatch;
+import io.masticfold.core.attempt.StageFailed;
+import io.masticfold.core.attempt.StageRefused;
+import io.masticfold.core.error.ErrorKind;
+import io.masticfold.core.error.Ran;
+import io.masticfold.wire.proto.Frame;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.DefaultEventLoop;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards what an entry concludes from the loss of a link, and from messages that come too late. */
+final class LinkLossTests {
+
+    private static final StageRefused UNREACHABLE = new StageRefused(ErrorKind.TARGET_UNREACHABLE, Duration.ZERO);
+    private static final StageFailed LOST = new StageFailed(ErrorKind.LINK_LOST, Ran.UNKNOWN);
+
+    private final TargetLink link = new TargetLink(
+            "t1",
+            "127.0.0.1:1",
+            _link -> new Dialer(
+                    new Bootstrap(),
+                    new DefaultEventLoop(),
+                    new InetSocketAddress("127.0.0.1", 1),
+                    new Backoff(new SplittableRandom(1))));
+    private final RecordingListener listener = new RecordingListener();
+    private EmbeddedPeer entry;
+
+    @BeforeEach
+    void connect() throws IOException {
+        entry = new EmbeddedPeer(
+                        PeerRole.ENTRY,
+                        environment -> peer -> new EntryConnection(
+                                environment, new ConfigDeltas(environment.codec()), peer, link, PermitHandler.DENY))
+                .authenticate();
+        entry.send(EmbeddedPeer.heartbeat());
+    }
+
+    private StageDispatch dispatch(long counter, boolean streaming) {
+        StageDispatch dispatch = WireFixture.dispatch(counter, true, streaming);
+        link.dispatch(dispatch, listener);
+        entry.channel().runPendingTasks();
+        return dispatch;
+    }
+
+    /** Guards the truth of "not run": only an attempt whose frame did not leave completely may be called so. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void lossIsClassifiedByTheWrite(boolean held) {
+        if (held) {
+            entry.writes.hold();
+        }
+        dispatch(1, false);
+        assertThat(listener.outcomes()).isEmpty();
+        entry.channel().close();
+        entry.channel().runPendingTasks();
+        assertThat(listener.outcomes()).containsExactly(held ? UNREACHABLE : LOST);
+        assertThat(link.usable()).isFalse();
+
+        dispatch(2, false);
+        assertThat(listener.outcomes()).last().isEqualTo(UNREACHABLE);
+    }
+
+    /** Guards against new work for a process that has stopped to send heartbeats, and against its loss on return. */
+    @Test
+    void silentLinkIsNotUsed() throws IOException {
+        assertThat(link.usable()).isTrue();
+        entry.time.advance(WireLimits.USABLE_SILENCE.minusNanos(1));
+        assertThat(link.usable()).isTrue();
+        entry.time.advance(Duration.ofNanos(1));
+        assertThat(link.usable()).isFalse();
+        dispatch(1, false);
+        assertThat(listener.outcomes()).containsExactly(UNREACHABLE);
+        assertThat(entry.received().stream().map(Frame::getMessageCase)).doesNotContain(Frame.MessageCase.DISPATCH);
+
+        entry.send(EmbeddedPeer.heartbeat());
+        assertThat(link.usable()).isTrue();
+    }
+
+    /** Guards open attempts against a peer that never speaks again. */
+    @Test
+    void silentLinkIsClosed() {
+        dispatch(1, false);
+        entry.time.advance(WireLimits.MAX_SILENCE.plusNanos(1));
+        entry.channel().advanceTimeBy(WireLimits.HEARTBEAT_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+        entry.channel().runScheduledPendingTasks();
+        assertThat(entry.open()).isFalse();
+        assertThat(listener.outcomes()).containsExactly(LOST);
+    }
+
+    /** Guards against work for an agent that has announced its end. */
+    @Test
+    void leavingAgentIsNotUsed() {
+        Frame.Builder leaving = EmbeddedPeer.heartbeat().toBuilder();
+        leaving.getHeartbeatBuilder().setLeaving(true);
+        entry.send(leaving.build());
+        assertThat(link.usable()).isFalse();
+        assertThat(link.status().leaving()).isTrue();
+    }
+
+    /** Guards against a result delivered twice, or to an attempt that does not exist. */
+    @ParameterizedTest
+    @CsvSource({"1, 1", "2, 0"})
+    void lateAndDuplicateOutcomesAreDropped(long counter, int delivered) {
+        dispatch(1, false);
+        AttemptId id = new AttemptId(WireFixture.ENTRY, counter);
+        StageCompleted completed = new StageCompleted(Payload.ofUtf8("{}"), 5);
+        entry.send(WireMessages.outcome(id, false, completed, WireFixture.LOAD));
+        entry.send(WireMessages.outcome(id, false, LOST, WireFixture.LOAD));
+        entry.send(WireMessages.chunk(id, 0, ByteString.copyFromUtf8("late")));
+        assertThat(listener.outcomes()).hasSize(delivered);
+        assertThat(entry.telemetry.value("late_outcome")).isEqualTo(2 - delivered);
+        assertThat(entry.telemetry.value("late_chunk")).isOne();
+        assertThat(entry.open()).isTrue();
+    }
+
+    /** Guards against an attempt id that reaches the agent twice. */
+    @Test
+    void secondDispatchOfAnAttemptIsNotSent() throws IOException {
+        dispatch(1, false);
+        dispatch(1, false);
+        assertThat(listener.outcomes()).containsExactly(new StageFailed(ErrorKind.DUPLICATE_ATTEMPT, Ran.UNKNOWN));
+        assertThat(entry.received().stream().filter(Frame::hasDispatch)).hasSize(1);
+    }
+
+    /** Guards against a stream with a missing part that is taken for the whole answer. */
+    @ParameterizedTest
+    @CsvSource({"0, 3, 6, true", "3, 0, 6, true", "0, 4, 7, false", "0, 3, 7, false", "0, 3, 5, false"})
+    void streamMustBeWhole(long first, long second, int total, boolean whole) {
+        StageDispatch dispatch = dispatch(1, true);
+        entry.send(WireMessages.chunk(dispatch.attempt(), first, text(first)));
+        entry.send(WireMessages.chunk(dispatch.attempt(), second, text(second)));
+        StageCompleted end = new StageCompleted(Payload.wrap(new byte[total]), 5);
+        entry.send(WireMessages.outcome(dispatch.attempt(), true, end, WireFixture.LOAD));
+        assertThat(listener.outcomes())
+                .containsExactly(
+                        whole
+                                ? new StageCompleted(Payload.ofUtf8("abcdef"), 5)
+                                : new StageFailed(ErrorKind.LINK_LOST, Ran.YES));
+        assertThat(entry.telemetry.value("incomplete_result")).isEqualTo(whole ? 0 : 1);
+    }
+
+    private static ByteString text(long offset) {
+        return ByteString.copyFromUtf8(offset == 0 ? "abc" : "def");
+    }
+
+    /** Guards callers that wait for a seal whose answer can no longer come. */
+    @Test
+    void sealOnALostLinkIsUnknown() {
+        List<SealOutcome> outcomes = new ArrayList<>();
+        AttemptId id = new AttemptId(WireFixture.ENTRY, 1);
+        link.seal(id, WireFixture.AGENT, outcomes::add);
+        entry.channel().runPendingTasks();
+        assertThat(outcomes).isEmpty();
+        entry.channel().close();
+        entry.channel().runPendingTasks();
+        link.seal(id, WireFixture.AGENT, outcomes::add);
+        assertThat(outcomes).hasSize(2).allMatch(SealOutcome.of(SealOutcome.State.UNKNOWN)::equals);
+    }
+}
