--- a/masticfold-cli/src/main/java/io/masticfold/cli/bench/OverheadRun.java
+++ b/masticfold-cli/src/main/java/io/masticfold/cli/bench/OverheadRun.java
@@ -13,8 +13,8 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * Measures what a stage through masticfold costs over the same call straight to the stand-in, at 1,000 requests a second,
- * and how many tokens a second one entry passes on.
+ * Measures what a stage through masticfold costs over the same call straight to the stand-in, at 1,000 requests a
+ * second.
  */
 final class OverheadRun {
 
--- a/masticfold-entry/src/main/java/io/masticfold/entry/EntryDaemon.java
+++ b/masticfold-entry/src/main/java/io/masticfold/entry/EntryDaemon.java
@@ -200,8 +200,8 @@
     }
 
     /**
-     * Stops gracefully: turns readiness off, keeps taking requests for the drain delay, then refuses new ones, ends those
-     * in progress and closes everything.
+     * Stops gracefully: turns readiness off, keeps taking requests for the drain delay, then refuses new ones, ends
+     * those in progress and closes everything.
      */
     public void stop() throws InterruptedException {
         lifecycle.advance(EntryLifecycle.Phase.DRAINING);
