--- a/masticfold-cli/src/main/java/io/masticfold/cli/bench/BenchCommand.java
+++ b/masticfold-cli/src/main/java/io/masticfold/cli/bench/BenchCommand.java
@@ -6,6 +6,7 @@
 import io.masticfold.cli.command.ExitCode;
 import io.masticfold.cli.command.OptionSupport;
 import java.io.PrintStream;
+import java.util.Locale;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
@@ -17,6 +18,9 @@
     private static final String POLICY = "policy";
     private static final String JSON = "json";
 
+    /** Not a scenario: prints the costs that docs/CAPACITY.md is worked out from. */
+    private static final String SLOPES = "slopes";
+
     @Override
     public String name() {
         return "bench";
@@ -29,7 +33,7 @@
 
     @Override
     public String arguments() {
-        return "SCENARIO";
+        return "SCENARIO|slopes";
     }
 
     @Override
@@ -56,6 +60,10 @@
     @Override
     public ExitCode run(CommandLine line, PrintStream out, PrintStream _err) throws CommandException {
         String code = OptionSupport.arguments(line, 1, 1, "SCENARIO").get(0);
+        if (code.equals(SLOPES)) {
+            new SlopesRun().run().forEach(row -> print(row, out));
+            return ExitCode.OK;
+        }
         Scenario scenario = Scenario.ofCode(code)
                 .orElseThrow(() -> new CommandException(ExitCode.USAGE, "unknown scenario '" + code + "'"));
         String name = line.getOptionValue(POLICY, BenchPolicy.MASTICFOLD.code());
@@ -69,6 +77,12 @@
         return ExitCode.OK;
     }
 
+    private static void print(SlopeRow row, PrintStream out) {
+        String text = String.format(
+                Locale.ROOT, "%s\t%d %s\t%.3f %s", row.what(), row.size(), row.unit(), row.value(), row.valueUnit());
+        out.println(text);
+    }
+
     private static long seed(CommandLine line) throws CommandException {
         String text = line.getOptionValue(SEED, "1");
         try {
