--- a/masticfold-cli/src/test/java/io/masticfold/cli/process/ObjectApiProcess.java
+++ b/masticfold-cli/src/test/java/io/masticfold/cli/process/ObjectApiProcess.java
@@ -29,6 +29,11 @@
         HttpOnce.send(address, "PUT", "/v1/faults", Map.of(), "{\"" + fault.code() + "\":" + value + "}");
     }
 
+    /** Returns how many calls a counting switch still applies to. */
+    long pending(ObjectApiFault fault) throws IOException {
+        return HttpOnce.get(address, "/v1/faults").json().get(fault.code()).longValue();
+    }
+
     /** Writes an object under the condition that it has a version; 0 creates it. */
     HttpOnce.Answer put(String kind, String name, long expected, String changeId, String spec) throws IOException {
         return HttpOnce.send(
@@ -47,6 +52,14 @@
         }
     }
 
+    /** Returns the revision of the store, which grows by one with each write. */
+    long revision() throws IOException {
+        return HttpOnce.get(address, "/v1/objects?since=0")
+                .json()
+                .get("revision")
+                .longValue();
+    }
+
     JsonNode object(String kind, String name) throws IOException {
         return HttpOnce.get(address, "/v1/objects/" + kind + '/' + name).json();
     }
