--- a/masticfold-cli/src/test/java/io/masticfold/cli/process/AbstractScenarioTests.java
+++ b/masticfold-cli/src/test/java/io/masticfold/cli/process/AbstractScenarioTests.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.masticfold.testkit.targets.TargetFault;
 import java.io.IOException;
 import java.nio.file.Path;
 import org.junit.jupiter.api.AfterEach;
@@ -13,6 +14,8 @@
 @Tag("process")
 abstract class AbstractScenarioTests {
 
+    private static final int SLOW_PERCENT = 5_000;
+
     @TempDir
     private Path directory;
 
@@ -38,6 +41,17 @@
         return directory;
     }
 
+    /** Makes payments take about a second, so that a test can act while one runs. */
+    void slowPayments() throws IOException {
+        deployment.target("pay-a").fault(TargetFault.SLOW_PERCENT, SLOW_PERCENT);
+        deployment.target("pay-b").fault(TargetFault.SLOW_PERCENT, SLOW_PERCENT);
+    }
+
+    void awaitStarted(String operation) throws Exception {
+        Await.until(
+                "payment " + operation + " runs", () -> deployment.payments(operation) > 0, () -> deployment.logs());
+    }
+
     /** Checks results, payments and cold bounds against what the targets recorded. */
     void checkRecords(Load load) throws IOException {
         assertThat(load.wrong()).isEmpty();
--- a/masticfold-cli/src/test/java/io/masticfold/cli/process/Caller.java
+++ b/masticfold-cli/src/test/java/io/masticfold/cli/process/Caller.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
 
 /** Sends requests to entries as a caller of the workspace {@code shop}. */
 final class Caller {
@@ -63,6 +64,15 @@
      * unknown for good.
      */
     static Reply payUntilFinal(List<EntryProcess> entries, String operation) throws Exception {
+        return payUntil(entries, operation, reply -> reply.ok() || FINAL_KINDS.contains(reply.errorKind()));
+    }
+
+    /** Repeats a payment under the same key until it has a result; for faults that end, so that it must settle. */
+    static Reply payUntilResult(List<EntryProcess> entries, String operation) throws Exception {
+        return payUntil(entries, operation, Reply::ok);
+    }
+
+    private static Reply payUntil(List<EntryProcess> entries, String operation, Predicate<Reply> end) throws Exception {
         Reply[] last = new Reply[1];
         int[] tries = {0};
         Await.until(
@@ -71,7 +81,7 @@
                     EntryProcess entry = entries.get(tries[0]++ % entries.size());
                     try {
                         last[0] = call(entry, "payment", operation, "r-" + REQUESTS.incrementAndGet(), body(operation));
-                        return last[0].ok() || FINAL_KINDS.contains(last[0].errorKind());
+                        return end.test(last[0]);
                     } catch (IOException e) {
                         return false;
                     }
--- a/masticfold-cli/src/test/java/io/masticfold/cli/process/CrashTests.java
+++ b/masticfold-cli/src/test/java/io/masticfold/cli/process/CrashTests.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.masticfold.testkit.object.ObjectApiFault;
-import io.masticfold.testkit.targets.TargetFault;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -12,8 +11,6 @@
 
 class CrashTests extends AbstractScenarioTests {
 
-    private static final int SLOW_PERCENT = 5_000;
-
     /** Guards against answers that go to another request and payments that run twice, over separate processes. */
     @Test
     void servesRequests() throws Exception {
@@ -98,14 +95,4 @@
             assertThat(deployment().objectApi().pending(fault)).isZero();
         }
     }
-
-    private void slowPayments() throws Exception {
-        deployment().target("pay-a").fault(TargetFault.SLOW_PERCENT, SLOW_PERCENT);
-        deployment().target("pay-b").fault(TargetFault.SLOW_PERCENT, SLOW_PERCENT);
-    }
-
-    private void awaitStarted(String operation) throws Exception {
-        Await.until("payment " + operation + " runs", () -> deployment().payments(operation) > 0, () -> deployment()
-                .logs());
-    }
 }
--- a/masticfold-cli/src/test/java/io/masticfold/cli/process/SmallDeployment.java
+++ b/masticfold-cli/src/test/java/io/masticfold/cli/process/SmallDeployment.java
@@ -21,7 +21,7 @@
 /**
  * Runs a small deployment as separate processes: two entries, two engines and two payment services in two availability
  * zones, an agent beside each of them, the object API and the VM list. The second entry reaches the object API over a
- * relay, so that a test can cut it off alone.
+ * relay, so that a test can cut it off alone, and so do the links to each agent.
  */
 final class SmallDeployment implements AutoCloseable {
 
@@ -62,6 +62,7 @@
     private final TcpRelay relay;
     private final Map<String, TargetProcess> targets = new LinkedHashMap<>();
     private final Map<String, AgentProcess> agents = new LinkedHashMap<>();
+    private final Map<String, TcpRelay> links = new LinkedHashMap<>();
     private final List<EntryProcess> entries = new ArrayList<>();
 
     private SmallDeployment(
@@ -79,8 +80,7 @@
         String vmHostPort = TargetProcess.hostPort(vmAddress);
         ChildProcess vmList =
                 ChildProcess.start("vm-list", directory, StandInMain.class, List.of("vm-list", vmHostPort));
-        TcpRelay relay = new TcpRelay(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), objectApi.address());
-        relay.start();
+        TcpRelay relay = startRelay(objectApi.address());
         SmallDeployment deployment = new SmallDeployment(objectApi, vmAddress, vmList, relay);
         try {
             deployment.startTargets(directory);
@@ -127,6 +127,11 @@
         return agents.get(target);
     }
 
+    /** Returns the relay between the entries and the agent of a target. */
+    TcpRelay link(String target) {
+        return links.get(target);
+    }
+
     TargetProcess target(String name) {
         return targets.get(name);
     }
@@ -178,6 +183,7 @@
             target.process().kill();
         }
         relay.stop();
+        links.values().forEach(TcpRelay::stop);
         vmListProcess.kill();
         objectApi.process().kill();
     }
@@ -190,11 +196,19 @@
         }
         for (String zone : ZONES) {
             for (TargetProcess target : targetsOf(zone)) {
-                agents.put(target.name(), AgentProcess.start(target, zone, directory));
+                AgentProcess agent = AgentProcess.start(target, zone, directory);
+                agents.put(target.name(), agent);
+                links.put(target.name(), startRelay(agent.listen()));
             }
         }
     }
 
+    private static TcpRelay startRelay(InetSocketAddress destination) throws IOException {
+        TcpRelay relay = new TcpRelay(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), destination);
+        relay.start();
+        return relay;
+    }
+
     private void startTarget(TargetProcess target, String zone) {
         if (targetsOf(zone).contains(target)) {
             throw new IllegalStateException("target started twice: " + target.name());
@@ -224,7 +238,7 @@
                                 zone,
                                 engine ? "engines" : "payments",
                                 engine ? "engine" : "service",
-                                TargetProcess.hostPort(agent(target.name()).listen()),
+                                link(target.name()).hostPort(),
                                 TargetProcess.hostPort(target.address())));
             }
         }
