Let only a few entries of a region watch the object API

Cause: a waiting watch counts as a call; 1,900 watching entries would cost about 1,400 reads a second. Change: three leases per region decide who watches; heartbeats carry the age of the last confirmation, and an entry without confirmation contends and watches as a substitute. Ruled out: a fixed list of VMs; all entries watching.

--- a/masticfold-core/src/main/java/io/masticfold/core/config/ConfigReplica.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/config/ConfigReplica.java
@@ -2,9 +2,11 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Holds the configuration in force in a process: one immutable snapshot behind an atomic reference. Safe for use by
@@ -13,6 +15,7 @@
 public final class ConfigReplica {
 
     private final AtomicReference<ConfigSnapshot> current = new AtomicReference<>(ConfigSnapshot.EMPTY);
+    private final AtomicReference<@Nullable Confirmation> confirmation = new AtomicReference<>();
     private final List<Consumer<ConfigSnapshot>> listeners = new CopyOnWriteArrayList<>();
 
     /** Returns the snapshot in force. */
@@ -41,6 +44,31 @@
         return true;
     }
 
+    /**
+     * Records that the object API, directly or through a peer, was known to have a configuration at some time.
+     *
+     * @param digest digest of that configuration
+     * @param atNanos the time, in nanoseconds of the monotonic clock
+     */
+    public void confirm(long digest, long atNanos) {
+        Confirmation fresh = new Confirmation(digest, atNanos);
+        confirmation.updateAndGet(known -> known == null ? fresh : known.merge(fresh));
+    }
+
+    /**
+     * Returns how long ago the configuration in force was last known to be the object API's own.
+     *
+     * @param nowNanos current time, in nanoseconds of the monotonic clock
+     * @return the age, in nanoseconds; empty if the configuration in force was never confirmed
+     */
+    public OptionalLong confirmedAgeNanos(long nowNanos) {
+        Confirmation known = confirmation.get();
+        if (known == null || known.digest() != snapshot().digest()) {
+            return OptionalLong.empty();
+        }
+        return OptionalLong.of(Math.max(0, nowNanos - known.atNanos()));
+    }
+
     /** Adds a listener that is called after each change, on the merging thread; snapshots may arrive out of order. */
     public void addListener(Consumer<ConfigSnapshot> listener) {
         listeners.add(listener);
--- a/masticfold-core/src/main/java/io/masticfold/core/membership/package-info.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/membership/package-info.java
@@ -1,4 +1,4 @@
-/** Liveness of links and peers, and subsets of them. */
+/** Liveness of peers, and which processes keep contact with the object API. */
 @NullMarked
 package io.masticfold.core.membership;
 
--- a/masticfold-entry/src/main/java/io/masticfold/entry/EntryDaemon.java
+++ b/masticfold-entry/src/main/java/io/masticfold/entry/EntryDaemon.java
@@ -12,6 +12,8 @@
 import io.masticfold.core.limit.ContractAdmission;
 import io.masticfold.core.limit.QuotaClient;
 import io.masticfold.core.limit.RequestAdmission;
+import io.masticfold.core.membership.WatchElection;
+import io.masticfold.core.membership.WatchElectionSettings;
 import io.masticfold.core.model.Contract;
 import io.masticfold.core.model.Pipeline;
 import io.masticfold.core.pipeline.PipelineRunner;
@@ -37,8 +39,11 @@
 import io.masticfold.platform.json.JsonSpecCodec;
 import io.masticfold.platform.metrics.MicrometerTelemetry;
 import io.masticfold.platform.settings.EntrySettings;
+import io.masticfold.platform.store.ClaimJanitor;
 import io.masticfold.platform.store.ConfigSource;
+import io.masticfold.platform.store.ConfigWatcher;
 import io.masticfold.platform.store.HttpObjectStore;
+import io.masticfold.platform.store.LeaseClient;
 import io.masticfold.platform.store.StoreClaimStore;
 import io.masticfold.platform.store.StoreLimits;
 import io.masticfold.wire.LinkStatus;
@@ -69,6 +74,7 @@
 
     private static final Logger LOGGER = LoggerFactory.getLogger(EntryDaemon.class);
     private static final int LINK_THREADS = 2;
+    private static final String JANITOR_LEASE = "claim-janitor";
     private static final Duration STOP_MARGIN = Duration.ofSeconds(2);
     private static final Duration STOP_POLL = Duration.ofMillis(10);
 
@@ -85,7 +91,9 @@
     private final QuotaClient quotaClient = new QuotaClient(time);
     private final EntryQuota quota = new EntryQuota(quotaClient);
     private final HttpObjectStore store;
-    private final ConfigSource source;
+    private final ConfigWatcher watcher;
+    private final LeaseClient janitorLease;
+    private final ClaimJanitor janitor;
     private final WireClient links;
     private final HttpServers servers;
 
@@ -109,7 +117,9 @@
         this.options = options;
         JsonSpecCodec codec = new JsonSpecCodec();
         this.store = new HttpObjectStore(settings.objectApi(), StoreLimits.DEFAULT, telemetry, random);
-        this.source = new ConfigSource(store, codec, config, store.scheduler(), random);
+        this.watcher = watcher(new ConfigSource(store, codec, config, store.scheduler(), random));
+        this.janitorLease = lease(JANITOR_LEASE);
+        this.janitor = new ClaimJanitor(store, janitorLease, store.scheduler(), telemetry);
         WireIdentity identity = new WireIdentity(settings.name(), settings.zone(), PeerRole.ENTRY, incarnation);
         SharedSecret secret = SharedSecret.ofUtf8(settings.sharedSecret());
         WireEnvironment environment = new WireEnvironment(identity, secret, config, codec, quota, time, telemetry);
@@ -125,7 +135,9 @@
     public void start() throws MasticfoldException {
         store.start();
         links.start();
-        source.start();
+        watcher.start();
+        janitorLease.start();
+        janitor.start();
         quota.start(store.scheduler());
         config.addListener(
                 snapshot -> EntryEvent.CONFIGURATION_IN_FORCE.log(LOGGER, settings.name(), snapshot.revision()));
@@ -133,6 +145,21 @@
         EntryEvent.STARTED.log(LOGGER, settings.name(), settings.listen(), settings.admin());
     }
 
+    private ConfigWatcher watcher(ConfigSource source) {
+        WatchElection election =
+                new WatchElection(WatchElectionSettings.DEFAULT, settings.name(), random, time.nanoTime());
+        return new ConfigWatcher(
+                source,
+                config,
+                store.scheduler(),
+                slot -> lease(ConfigWatcher.leaseName(settings.region(), slot)),
+                election);
+    }
+
+    private LeaseClient lease(String name) {
+        return new LeaseClient(store, store.scheduler(), random, name, settings.name());
+    }
+
     private void startServers() throws MasticfoldException {
         SheddingAdmission shedding =
                 new SheddingAdmission(new ContractAdmission(time, quotaClient), ShedSettings.DEFAULT, time, random);
@@ -230,7 +257,9 @@
 
     private void close() throws InterruptedException {
         servers.stop();
-        source.stop();
+        janitor.stop();
+        janitorLease.stop();
+        watcher.stop();
         quota.stop();
         links.stop();
         store.stop();
--- a/masticfold-platform/src/main/java/io/masticfold/platform/event/PlatformEvent.java
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/event/PlatformEvent.java
@@ -17,7 +17,8 @@
     CLAIM_MALFORMED(3020, Level.ERROR, "claim {} version {} cannot be read: {}"),
     CLAIMS_DELETED(3021, Level.INFO, "{} claims past retention deleted"),
     LEASE_ACQUIRED(3030, Level.INFO, "lease {} acquired, fencing number {}"),
-    LEASE_LAPSED(3031, Level.WARN, "lease {} with fencing number {} lapsed: {}");
+    LEASE_LAPSED(3031, Level.WARN, "lease {} with fencing number {} lapsed: {}"),
+    CONFIG_WATCH_ROLE(3032, Level.INFO, "this process is {} for the configuration watch, slot {}");
 
     private final int number;
     private final Level level;
--- a/masticfold-platform/src/main/java/io/masticfold/platform/store/ConfigSource.java
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/store/ConfigSource.java
@@ -27,8 +27,11 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(ConfigSource.class);
 
-    /** A watch counts as a call while it waits; 10 s keeps that cost low and finds a dead connection soon enough. */
-    private static final Duration WATCH_WAIT = Duration.ofSeconds(10);
+    /**
+     * Each answer confirms the configuration to all processes, which must notice missing watchers within a few seconds.
+     * Only a few entries of a region watch, so a call a second from each stays small.
+     */
+    private static final Duration WATCH_WAIT = Duration.ofSeconds(1);
 
     private static final Duration LIST_TIMEOUT = Duration.ofSeconds(10);
     private static final Duration FIRST_RETRY = Duration.ofMillis(100);
@@ -45,6 +48,8 @@
     private final Scheduler scheduler;
     private final Backoff backoff;
     private final AtomicBoolean running = new AtomicBoolean();
+    private final AtomicBoolean watching = new AtomicBoolean(true);
+    private final AtomicBoolean paused = new AtomicBoolean();
     private volatile boolean loaded;
     private volatile boolean reachable;
     private long revision;
@@ -89,6 +94,17 @@
         return reachable;
     }
 
+    /**
+     * Switches watching on or off; reading the first list is not affected. A watch that waits when watching is switched
+     * off ends by itself.
+     */
+    public void watching(boolean on) {
+        watching.set(on);
+        if (on && paused.compareAndSet(true, false)) {
+            catchUp();
+        }
+    }
+
     private void list() {
         if (running.get()) {
             store.list(KINDS, 0, LIST_TIMEOUT, this::listed);
@@ -96,6 +112,13 @@
     }
 
     private void watch() {
+        if (!watching.get()) {
+            paused.set(true);
+            if (watching.get() && paused.compareAndSet(true, false)) {
+                catchUp();
+            }
+            return;
+        }
         if (running.get()) {
             store.watch(KINDS, revision, WATCH_WAIT, this::watched);
         }
@@ -145,6 +168,7 @@
                 .flatMap(Optional::stream)
                 .toList();
         replica.merge(objects);
+        replica.confirm(replica.snapshot().digest(), scheduler.nanoTime());
     }
 
     /**
--- a/masticfold-wire/src/main/java/io/masticfold/wire/AbstractConnection.java
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/AbstractConnection.java
@@ -237,7 +237,8 @@
         ConfigSnapshot snapshot = environment.config().snapshot();
         Heartbeat.Builder heartbeat = report().setSequence(++sequence)
                 .setConfigRevision(snapshot.revision())
-                .setConfigDigest(snapshot.digest());
+                .setConfigDigest(snapshot.digest())
+                .setConfigAgeMillisPlusOne(sync.ageMillisPlusOne());
         environment
                 .quota()
                 .demand(peer.identity())
--- a/masticfold-wire/src/main/java/io/masticfold/wire/ConfigSync.java
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/ConfigSync.java
@@ -11,6 +11,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -73,12 +75,29 @@
         peerDigest = heartbeat.getConfigDigest();
         heard = true;
         ConfigSnapshot own = environment.config().snapshot();
+        confirm(heartbeat, own);
         if (peerDigest == own.digest() || peerRevision < own.revision()) {
             return;
         }
         request(own);
     }
 
+    /** A peer with the same configuration passes on when the object API was last known to have it. */
+    private void confirm(Heartbeat heartbeat, ConfigSnapshot own) {
+        long plusOne = heartbeat.getConfigAgeMillisPlusOne();
+        if (plusOne > 0 && peerDigest == own.digest()) {
+            long ageNanos = TimeUnit.MILLISECONDS.toNanos(plusOne - 1);
+            environment.config().confirm(peerDigest, environment.time().nanoTime() - ageNanos);
+        }
+    }
+
+    /** Returns the age of the own confirmation for heartbeats, rounded up so that an age never shrinks on its way. */
+    long ageMillisPlusOne() {
+        OptionalLong ageNanos =
+                environment.config().confirmedAgeNanos(environment.time().nanoTime());
+        return ageNanos.isEmpty() ? 0 : TimeUnit.NANOSECONDS.toMillis(ageNanos.getAsLong()) + 2;
+    }
+
     private void request(ConfigSnapshot own) {
         long now = environment.time().nanoTime();
         if (now - nextRequestNanos < 0) {
--- a/masticfold-wire/src/main/java/io/masticfold/wire/proto/Heartbeat.java
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/proto/Heartbeat.java
@@ -218,6 +218,21 @@
     return share_.get(index);
   }
 
+  public static final int CONFIG_AGE_MILLIS_PLUS_ONE_FIELD_NUMBER = 9;
+  private long configAgeMillisPlusOne_ = 0L;
+  /**
+   * <pre>
+   * Time since the object API was last known to have this configuration, in milliseconds, plus one; 0 if never.
+   * </pre>
+   *
+   * <code>uint64 config_age_millis_plus_one = 9;</code>
+   * @return The configAgeMillisPlusOne.
+   */
+  @java.lang.Override
+  public long getConfigAgeMillisPlusOne() {
+    return configAgeMillisPlusOne_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -256,6 +271,9 @@
     for (int i = 0; i < share_.size(); i++) {
       output.writeMessage(8, share_.get(i));
     }
+    if (configAgeMillisPlusOne_ != 0L) {
+      output.writeUInt64(9, configAgeMillisPlusOne_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -302,6 +320,10 @@
           }
           size += 1 * count;
         }
+    if (configAgeMillisPlusOne_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(9, configAgeMillisPlusOne_);
+    }
     return size;
   }
   @java.lang.Override
@@ -345,6 +367,8 @@
         .equals(other.getDemandList())) return false;
     if (!getShareList()
         .equals(other.getShareList())) return false;
+    if (getConfigAgeMillisPlusOne()
+        != other.getConfigAgeMillisPlusOne()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -382,6 +406,9 @@
       hash = (37 * hash) + SHARE_FIELD_NUMBER;
       hash = (53 * hash) + getShareList().hashCode();
     }
+    hash = (37 * hash) + CONFIG_AGE_MILLIS_PLUS_ONE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getConfigAgeMillisPlusOne());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -545,6 +572,7 @@
         shareBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000080);
+      configAgeMillisPlusOne_ = 0L;
       return this;
     }
 
@@ -622,6 +650,9 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.connectedEntries_ = connectedEntries_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.configAgeMillisPlusOne_ = configAgeMillisPlusOne_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -707,6 +738,9 @@
           }
         }
       }
+      if (other.getConfigAgeMillisPlusOne() != 0L) {
+        setConfigAgeMillisPlusOne(other.getConfigAgeMillisPlusOne());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -789,6 +823,11 @@
               }
               break;
             } // case 66
+            case 72: {
+              configAgeMillisPlusOne_ = input.readUInt64();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1565,6 +1604,50 @@
       return shareBuilder_;
     }
 
+    private long configAgeMillisPlusOne_ ;
+    /**
+     * <pre>
+     * Time since the object API was last known to have this configuration, in milliseconds, plus one; 0 if never.
+     * </pre>
+     *
+     * <code>uint64 config_age_millis_plus_one = 9;</code>
+     * @return The configAgeMillisPlusOne.
+     */
+    @java.lang.Override
+    public long getConfigAgeMillisPlusOne() {
+      return configAgeMillisPlusOne_;
+    }
+    /**
+     * <pre>
+     * Time since the object API was last known to have this configuration, in milliseconds, plus one; 0 if never.
+     * </pre>
+     *
+     * <code>uint64 config_age_millis_plus_one = 9;</code>
+     * @param value The configAgeMillisPlusOne to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfigAgeMillisPlusOne(long value) {
+
+      configAgeMillisPlusOne_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time since the object API was last known to have this configuration, in milliseconds, plus one; 0 if never.
+     * </pre>
+     *
+     * <code>uint64 config_age_millis_plus_one = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfigAgeMillisPlusOne() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      configAgeMillisPlusOne_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:masticfold.Heartbeat)
   }
 
--- a/masticfold-wire/src/main/java/io/masticfold/wire/proto/HeartbeatOrBuilder.java
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/proto/HeartbeatOrBuilder.java
@@ -106,4 +106,14 @@
    */
   io.masticfold.wire.proto.QuotaShareOrBuilder getShareOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Time since the object API was last known to have this configuration, in milliseconds, plus one; 0 if never.
+   * </pre>
+   *
+   * <code>uint64 config_age_millis_plus_one = 9;</code>
+   * @return The configAgeMillisPlusOne.
+   */
+  long getConfigAgeMillisPlusOne();
 }
