Take the pause of a frozen agent off the budgets it finds

Cause: a budget is relative to the moment its message was written. A frozen agent reads messages that have waited in the socket and would start them with their whole budget, seconds after the request has ended.

Change: PauseDetector sees gaps of at least two heartbeat intervals between observations (each heartbeat and each dispatch). For one interval after a gap its length is taken off the budget of every dispatch, so that the gate refuses what is late.

Ruled out: wall-clock times in the message, because the clocks of two VMs may differ; dropping the messages, because the entry would not get the answer "not run".

Conclusion: no start after the budget has run out, as long as the pause is at least 1 s; a shorter pause can delay a start by its own length.

--- a/masticfold-wire/src/main/java/io/masticfold/wire/AgentConnection.java
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/AgentConnection.java
@@ -37,6 +37,7 @@
     private final AgentState state;
     private final Map<AttemptId, InboundAttempt> attempts = new HashMap<>();
     private final Queue<Consumer<PermitGrant>> permits = new ArrayDeque<>();
+    private final PauseDetector pauses;
     private volatile int openAttempts;
     private boolean ended;
 
@@ -51,6 +52,7 @@
         this.server = server;
         this.handler = handler;
         this.state = state;
+        this.pauses = new PauseDetector(environment.time());
     }
 
     @Override
@@ -65,6 +67,7 @@
 
     @Override
     Heartbeat.Builder report() {
+        pauses.observe();
         return Heartbeat.newBuilder()
                 .setLeaving(state.leaving())
                 .setLoad(WireMessages.load(state.load()))
@@ -92,7 +95,7 @@
     @Override
     void receive(Frame frame) {
         switch (frame.getMessageCase()) {
-            case DISPATCH -> dispatch(WireMessages.dispatch(frame.getDispatch()));
+            case DISPATCH -> dispatch(WireMessages.dispatch(frame.getDispatch(), pauses.observe()));
             case CANCEL -> handler.cancel(WireMessages.attempt(frame.getCancel().getAttempt()));
             case WINDOW_UPDATE -> windowUpdate(frame.getWindowUpdate());
             case SEAL -> seal(frame.getSeal());
--- a/masticfold-wire/src/main/java/io/masticfold/wire/WireMessages.java
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/WireMessages.java
@@ -29,6 +29,7 @@
 import io.masticfold.wire.proto.SealReply;
 import io.masticfold.wire.proto.WindowUpdate;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 
 /** Converts between the types of the core and protobuf messages. */
 final class WireMessages {
@@ -128,9 +129,10 @@
     /**
      * Converts a dispatch.
      *
+     * @param waited time the message may have waited unread, which is taken off its budget
      * @throws IllegalArgumentException if a number is out of range
      */
-    static StageDispatch dispatch(Dispatch dispatch) {
+    static StageDispatch dispatch(Dispatch dispatch, Duration waited) {
         return new StageDispatch(
                 attempt(dispatch.getAttempt()),
                 dispatch.getRequestId(),
@@ -142,7 +144,7 @@
                 dispatch.getIdempotent(),
                 dispatch.getPriority(),
                 dispatch.getWorth(),
-                dispatch.getBudgetMicros(),
+                Math.max(0, dispatch.getBudgetMicros() - TimeUnit.NANOSECONDS.toMicros(waited.toNanos())),
                 dispatch.getMinimumMicros(),
                 dispatch.getStreaming(),
                 dispatch.getResumeOffset(),
--- a/masticfold-wire/src/test/java/io/masticfold/wire/InboundAttemptTests.java
+++ b/masticfold-wire/src/test/java/io/masticfold/wire/InboundAttemptTests.java
@@ -131,6 +131,19 @@
         assertThat(agent.telemetry.value("stream_window_exceeded")).isOne();
     }
 
+    /** Guards against late starts: a frozen agent finds messages whose budget has run out while it did not run. */
+    @ParameterizedTest
+    @CsvSource({"0, 750000", "999, 750000", "1000, 0", "60000, 0"})
+    void pauseIsTakenOffTheBudget(long pauseMillis, long budgetMicros) {
+        agent.time.advance(Duration.ofMillis(pauseMillis));
+        dispatched(1, false, false);
+        assertThat(handler.dispatches().get(0).budgetMicros()).isEqualTo(budgetMicros);
+
+        agent.time.advance(WireLimits.HEARTBEAT_INTERVAL.plusNanos(1));
+        dispatched(2, false, false);
+        assertThat(handler.dispatches().get(1).budgetMicros()).isEqualTo(750_000);
+    }
+
     /** Guards the connection against a result that no frame can carry. */
     @ParameterizedTest
     @CsvSource({"2080768, END", "2080769, FAILED"})
