Test the way of a weight-store permit

Cause: permits had no test over a link.

Change: permitIsAskedFromTheEntries covers an agent without entries, an entry that denies and one that grants.

Ruled out: a test of several entries; the order in which they are asked is not part of the contract.

--- a/masticfold-wire/src/test/java/io/masticfold/wire/WireRoundTripTests.java
+++ b/masticfold-wire/src/test/java/io/masticfold/wire/WireRoundTripTests.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards the exchange of attempts and configuration over a healthy link. */
 final class WireRoundTripTests {
@@ -146,6 +147,26 @@
         assertThat(fixture.agentConfig.snapshot().zone("zone-d")).isPresent();
     }
 
+    /** Guards weight-store permits: an entry without the lease denies, and the grant of another one counts. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void permitIsAskedFromTheEntries(boolean granted) throws Exception {
+        PermitGrant grant = granted ? new PermitGrant(true, Duration.ofSeconds(30)) : PermitGrant.DENIED;
+        PermitHandler permits = (target, bytes, reply) ->
+                reply.accept(target.equals("t1") && bytes == 7_000_000_000L ? grant : PermitGrant.DENIED);
+        try (WireFixture holder = new WireFixture("secret", "secret", permits)) {
+            CompletableFuture<PermitGrant> unconnected = new CompletableFuture<>();
+            holder.server.requestPermit("t1", 1, unconnected::complete);
+            assertThat(unconnected.get()).isEqualTo(PermitGrant.DENIED);
+
+            holder.entryConfig.merge(List.of(holder.target(1)));
+            holder.awaitUsable();
+            CompletableFuture<PermitGrant> answer = new CompletableFuture<>();
+            holder.server.requestPermit("t1", 7_000_000_000L, answer::complete);
+            assertThat(answer.get()).isEqualTo(grant);
+        }
+    }
+
     private boolean equalConfiguration() {
         return fixture.agentConfig.snapshot().digest()
                 == fixture.entryConfig.snapshot().digest();
