Add the fault matrix over the decision code

Change: names the invariants in io.masticfold.core.invariant and adds a test world of two entries, three agents with targets and one store in virtual time, wired to PipelineRunner, ClaimProtocol, AgentGate, DefaultRouter, ConfigReplica and ContractAdmission. Each cell strikes one fault, the same fault twice or a pair at one step, and is judged by what targets ran and callers received.

Ruled out: reusing the fakes of core.pipeline, whose agent replaces the gate.

--- /dev/null
+++ b/masticfold-core/src/test/java/io/masticfold/core/matrix/FaultMatrixTests.java
@@ -0,0 +1,106 @@
+package io.masticfold.core.matrix;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.masticfold.core.invariant.Invariant;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.TestInstance;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Guards the invariants against every fault at every step: alone, twice and in pairs. */
+@Tag("fault-matrix")
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+final class FaultMatrixTests {
+
+    private static final long PAIR_SEED = 20261204;
+    private static final int PAIRS_PER_STEP = 24;
+
+    private final List<String> rows = new ArrayList<>();
+    private int run;
+    private int failed;
+    private int impossible;
+
+    /** Returns every cell, the impossible ones included. */
+    static List<Cell> cells() {
+        List<Cell> cells = new ArrayList<>();
+        Random random = new Random(PAIR_SEED);
+        for (Step step : Step.values()) {
+            for (List<Fault> faults : combinations(random)) {
+                for (Scenario scenario : Scenario.values()) {
+                    cells.add(new Cell(step, faults, scenario, false));
+                    cells.add(new Cell(step, faults, scenario, true));
+                }
+            }
+        }
+        return cells;
+    }
+
+    private static List<List<Fault>> combinations(Random random) {
+        List<List<Fault>> combinations = new ArrayList<>();
+        List<List<Fault>> pairs = new ArrayList<>();
+        for (Fault first : Fault.values()) {
+            combinations.add(List.of(first));
+            combinations.add(List.of(first, first));
+            Stream.of(Fault.values())
+                    .filter(second -> second != first)
+                    .forEach(second -> pairs.add(List.of(first, second)));
+        }
+        Collections.shuffle(pairs, random);
+        combinations.addAll(pairs.subList(0, PAIRS_PER_STEP));
+        return combinations;
+    }
+
+    static List<Step> steps() {
+        return List.of(Step.values());
+    }
+
+    @ParameterizedTest
+    @MethodSource("steps")
+    void everyFaultAtTheStepKeepsTheInvariants(Step step) {
+        List<String> broken = new ArrayList<>();
+        cells().stream().filter(cell -> cell.step() == step).forEach(cell -> judge(cell, broken));
+        assertThat(broken).isEmpty();
+    }
+
+    private void judge(Cell cell, List<String> broken) {
+        ImpossibleCell reason = ImpossibleCell.of(cell).orElse(null);
+        if (reason != null) {
+            impossible++;
+            rows.add("-\t" + cell.step() + '\t' + label(cell) + "\timpossible: " + reason.reason());
+            return;
+        }
+        run++;
+        List<Violation> violations = new MatrixWorld(cell, null).run();
+        failed += violations.isEmpty() ? 0 : 1;
+        for (Invariant invariant : Invariant.values()) {
+            boolean holds = violations.stream().noneMatch(violation -> violation.invariant() == invariant);
+            rows.add(invariant + "\t" + cell.step() + '\t' + label(cell) + '\t' + (holds ? "holds" : "BROKEN"));
+        }
+        violations.stream().limit(2).forEach(violation -> broken.add(cell + ": " + violation));
+    }
+
+    private static String label(Cell cell) {
+        return cell.fault() + " " + cell.scenario() + (cell.checksFencing() ? " fencing" : "");
+    }
+
+    @AfterAll
+    void writeTable() throws IOException {
+        Path table = Path.of("target", "fault-matrix.tsv");
+        Files.createDirectories(table.getParent());
+        List<String> lines = new ArrayList<>(List.of("invariant\tstep\tfault\tverdict"));
+        lines.addAll(rows);
+        Files.write(table, lines);
+        System.out.println(
+                "fault matrix: " + run + " cells run, " + (run - failed) + " passed, " + impossible + " impossible");
+    }
+}
--- /dev/null
+++ b/masticfold-core/src/test/java/io/masticfold/core/matrix/ImpossibleCell.java
@@ -0,0 +1,42 @@
+package io.masticfold.core.matrix;
+
+import java.util.Arrays;
+import java.util.Optional;
+
+/** Names the cells that cannot occur, with the reason. */
+enum ImpossibleCell {
+    NO_MESSAGE("no message between an entry and an agent is on its way in this step") {
+        @Override
+        boolean covers(Cell cell) {
+            return !cell.step().onLink() && cell.faults().stream().anyMatch(Fault::onLink);
+        }
+    },
+    NO_CLAIM("a pipeline of idempotent stages makes no claim") {
+        @Override
+        boolean covers(Cell cell) {
+            return cell.step() == Step.CLAIM && cell.scenario().idempotent();
+        }
+    },
+    NO_STREAM("the last stage of the pipeline does not stream") {
+        @Override
+        boolean covers(Cell cell) {
+            return cell.step() == Step.STREAM && !cell.scenario().idempotent();
+        }
+    };
+
+    private final String reason;
+
+    ImpossibleCell(String reason) {
+        this.reason = reason;
+    }
+
+    abstract boolean covers(Cell cell);
+
+    String reason() {
+        return reason;
+    }
+
+    static Optional<ImpossibleCell> of(Cell cell) {
+        return Arrays.stream(values()).filter(entry -> entry.covers(cell)).findFirst();
+    }
+}
--- /dev/null
+++ b/masticfold-core/src/test/java/io/masticfold/core/matrix/Operator.java
@@ -0,0 +1,79 @@
+package io.masticfold.core.matrix;
+
+import io.masticfold.core.config.ConfigObject;
+import io.masticfold.core.config.ObjectKey;
+import io.masticfold.core.model.ConfigSpec;
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import org.jspecify.annotations.Nullable;
+
+/** Changes one object by conditional update and settles a lost answer by reading the object back by change id. */
+final class Operator {
+
+    private static final Duration PATIENCE = Duration.ofMillis(600);
+
+    private final MatrixWorld world;
+    private final ConfigSpec spec;
+    private final long expected;
+    private int entry;
+    private boolean told;
+    final String changeId;
+    long acceptedNanos = Long.MAX_VALUE;
+    boolean conflict;
+
+    Operator(MatrixWorld world, int entry, String changeId, ConfigSpec spec) {
+        this.world = world;
+        this.entry = entry;
+        this.changeId = changeId;
+        this.spec = spec;
+        this.expected = world.store.objects().stream()
+                .filter(object -> object.key().equals(key()))
+                .mapToLong(ConfigObject::version)
+                .findFirst()
+                .orElse(0);
+    }
+
+    ObjectKey key() {
+        return new ObjectKey(spec.kind(), spec.name());
+    }
+
+    /** Submits the change, through another entry each time no answer comes. */
+    void submit() {
+        if (told) {
+            return;
+        }
+        MatrixEntry through = world.entries.get(entry++ % world.entries.size());
+        VirtualProcess process = through.process();
+        process.schedule(Duration.ZERO, () -> {
+            world.reached(Step.CHANGE_SUBMIT, new Spot(through, world.agents.get(0)), MatrixWorld.MAIN);
+            if (!process.dead()) {
+                world.store.put(key(), expected, changeId, spec, answer -> {
+                    world.reached(Step.CHANGE_ACCEPT, new Spot(through, world.agents.get(0)), MatrixWorld.MAIN);
+                    process.schedule(Duration.ZERO, () -> answered(through, answer));
+                });
+            }
+        });
+        world.clock.schedule(PATIENCE, this::submit);
+    }
+
+    private void answered(MatrixEntry through, @Nullable ConfigObject answer) {
+        if (told || answer == null) {
+            return;
+        }
+        told = true;
+        conflict = !answer.changeId().equals(changeId);
+        if (!conflict) {
+            acceptedNanos = world.clock.nanoTime();
+        }
+        through.merge(List.of(Objects.requireNonNull(answer)));
+    }
+
+    boolean told() {
+        return told;
+    }
+
+    boolean accepted() {
+        return acceptedNanos != Long.MAX_VALUE;
+    }
+}
--- /dev/null
+++ b/masticfold-core/src/test/java/io/masticfold/core/matrix/Scenario.java
@@ -0,0 +1,33 @@
+package io.masticfold.core.matrix;
+
+import io.masticfold.core.model.Pipeline;
+import io.masticfold.core.model.Stage;
+import java.util.List;
+
+/** Lists the requests under test. */
+enum Scenario {
+    READ_STREAM(true, new Stage("read", "pool", true, 5, 1, true)),
+    READ_THEN_PAY(false, new Stage("read", "pool", true, 5, 1, false), new Stage("pay", "pool", false, 5, 1, false)),
+    /** The caller sends the same key through the other entry before it has an answer. */
+    PAY_IMPATIENT(false, new Stage("pay", "pool", false, 5, 1, false));
+
+    private final boolean idempotent;
+    private final Pipeline pipeline;
+
+    Scenario(boolean idempotent, Stage... stages) {
+        this.idempotent = idempotent;
+        this.pipeline = new Pipeline("p" + ordinal(), List.of(stages), 1000);
+    }
+
+    boolean idempotent() {
+        return idempotent;
+    }
+
+    boolean impatient() {
+        return this == PAY_IMPATIENT;
+    }
+
+    Pipeline pipeline() {
+        return pipeline;
+    }
+}
--- /dev/null
+++ b/masticfold-core/src/test/java/io/masticfold/core/matrix/VirtualProcess.java
@@ -0,0 +1,70 @@
+package io.masticfold.core.matrix;
+
+import io.masticfold.core.time.Cancellable;
+import io.masticfold.core.time.ManualScheduler;
+import io.masticfold.core.time.Scheduler;
+import java.time.Duration;
+import java.time.Instant;
+
+/** Runs the tasks of one process, which can be frozen and killed, on the clock that all processes share. */
+final class VirtualProcess implements Scheduler {
+
+    private final ManualScheduler clock;
+    private long frozenUntilNanos;
+    private boolean dead;
+
+    VirtualProcess(ManualScheduler clock) {
+        this.clock = clock;
+    }
+
+    @Override
+    public long nanoTime() {
+        return clock.nanoTime();
+    }
+
+    @Override
+    public Instant now() {
+        return clock.now();
+    }
+
+    @Override
+    public Cancellable schedule(Duration delay, Runnable task) {
+        boolean[] cancelled = new boolean[1];
+        clock.schedule(delay, () -> run(cancelled, task));
+        return () -> cancelled[0] = true;
+    }
+
+    private void run(boolean[] cancelled, Runnable task) {
+        if (dead || cancelled[0]) {
+            return;
+        }
+        long frozenNanos = frozenUntilNanos - clock.nanoTime();
+        if (frozenNanos > 0) {
+            clock.schedule(Duration.ofNanos(frozenNanos), () -> run(cancelled, task));
+        } else {
+            task.run();
+        }
+    }
+
+    /** Stops the process where it stands; the other processes go on until it resumes. */
+    void freeze(Duration length) {
+        frozenUntilNanos = Math.max(frozenUntilNanos, clock.nanoTime() + length.toNanos());
+        clock.advance(length);
+    }
+
+    void kill() {
+        dead = true;
+    }
+
+    boolean dead() {
+        return dead;
+    }
+
+    boolean frozen() {
+        return frozenUntilNanos > clock.nanoTime();
+    }
+
+    long frozenUntilNanos() {
+        return frozenUntilNanos;
+    }
+}
