Count each refused request once

Ruled out: counting in the servlet only, because the runner knows the reasons of retries as well. Conclusion: the servlet counts what it refuses itself, the runner the rest.

--- a/masticfold-entry/src/main/java/io/masticfold/entry/http/AnswerObserver.java
+++ b/masticfold-entry/src/main/java/io/masticfold/entry/http/AnswerObserver.java
@@ -4,7 +4,6 @@
 import io.masticfold.core.pipeline.PipelineRequest;
 import io.masticfold.core.pipeline.PipelineResult;
 import io.masticfold.core.pipeline.RequestFailure;
-import io.masticfold.core.telemetry.Telemetry;
 import io.masticfold.core.time.TimeSource;
 
 /** Ends the admission ticket of a request and records its answer. */
@@ -12,13 +11,11 @@
 
     private final AdmissionTicket ticket;
     private final Attainment attainment;
-    private final Telemetry telemetry;
     private final TimeSource time;
 
-    AnswerObserver(AdmissionTicket ticket, Attainment attainment, Telemetry telemetry, TimeSource time) {
+    AnswerObserver(AdmissionTicket ticket, Attainment attainment, TimeSource time) {
         this.ticket = ticket;
         this.attainment = attainment;
-        this.telemetry = telemetry;
         this.time = time;
     }
 
@@ -31,7 +28,6 @@
     @Override
     public void failed(PipelineRequest request, RequestFailure failure) {
         ticket.failed(failure.kind());
-        telemetry.refused(failure.kind());
         attainment.answered(request.contract(), false);
     }
 }
--- a/masticfold-entry/src/main/java/io/masticfold/entry/http/PipelineServlet.java
+++ b/masticfold-entry/src/main/java/io/masticfold/entry/http/PipelineServlet.java
@@ -109,7 +109,7 @@
             return Promise.of(AnswerWriter.failed(head.requestId(), denial(head, denied)));
         }
         AdmissionTicket ticket = ((AdmissionDecision.Admitted) decision).ticket();
-        RequestObserver observer = new AnswerObserver(ticket, attainment, telemetry, scheduler);
+        RequestObserver observer = new AnswerObserver(ticket, attainment, scheduler);
         return new Exchange(request, observer).start(service, scheduler);
     }
 
