Keep a target at its cold bound until its load report says warm

The ramp grew as soon as a report said warming, but a warming target is still in cold start. A target that fell over answered 500, which was no sign of cold. Change: growth needs a report that says warm, a report that says otherwise takes growth back, and three failures in a row turn the target cold. Ruled out: growing by service times while warming, because a warming target is fast under little load.

--- a/masticfold-core/src/main/java/io/masticfold/core/gate/ColdRamp.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/gate/ColdRamp.java
@@ -8,8 +8,8 @@
  * at warm speed, and falls back to the cold bound on any sign that the target has turned cold.
  *
  * <p>A success counts only if its call started after the last turn to cold. Growth also waits for a load report that
- * was taken after the turn and does not say cold, because a cold target can be fast while it runs few calls; if no
- * report arrives for {@link #REPORT_PATIENCE}, service times alone decide.
+ * was taken after the turn and says warm, because a target that is still warming up can be fast while it runs few calls
+ * and fall over under more; if no report arrives for {@link #REPORT_PATIENCE}, service times alone decide.
  *
  * <p>Not safe for use by several threads; the gate calls it under its lock.
  */
@@ -100,7 +100,7 @@
         if (verdict == BootHistory.Verdict.OUTDATED) {
             return false;
         }
-        boolean cold = report.temperature() == Temperature.COLD;
+        boolean cold = !report.temperature().warm();
         boolean afterLastTurn = takenNanos - turnedNanos >= 0;
         boolean fell = (cold || verdict.restarted()) && turnCold(nowNanos);
         waitFromNanos = nowNanos;
--- a/masticfold-core/src/main/java/io/masticfold/core/gate/GateLimits.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/gate/GateLimits.java
@@ -21,9 +21,13 @@
 
     private static final double MEAN_WEIGHT = 0.1;
 
+    /** Failures in a row that count as a turn to cold: a target that falls over under load fails every call. */
+    private static final int FAILURES_IN_A_ROW = 3;
+
     private final ColdRamp ramp;
     private final AdaptiveLimit adaptive = new AdaptiveLimit();
     private double meanNanos;
+    private int failuresInARow;
 
     GateLimits(long nowNanos) {
         ramp = new ColdRamp(nowNanos);
@@ -48,6 +52,7 @@
 
     /** Takes the end of a call that succeeded; returns whether the limit fell back to the cold bound. */
     boolean served(CallTimes call, int inFlight, GateBounds bounds) {
+        failuresInARow = 0;
         long nanos = call.elapsedNanos();
         meanNanos += (meanNanos == 0 ? 1 : MEAN_WEIGHT) * (nanos - meanNanos);
         if (call.epoch() == ramp.epoch()) {
@@ -58,7 +63,7 @@
 
     /** Takes the end of a call that failed; returns whether the limit fell back to the cold bound. */
     boolean failed(CallTimes call, ErrorKind kind, GateBounds bounds) {
-        if (COLD_SIGNS.contains(kind)) {
+        if (COLD_SIGNS.contains(kind) || (kind == ErrorKind.TARGET_FAILED && repeated())) {
             return ramp.turnCold(call.endNanos());
         }
         if (OVERLOAD_SIGNS.contains(kind)) {
@@ -67,6 +72,11 @@
         return kind == ErrorKind.STAGE_TIMEOUT && ramp.timedOut(call.epoch(), call.elapsedNanos(), call.endNanos());
     }
 
+    private boolean repeated() {
+        failuresInARow++;
+        return failuresInARow % FAILURES_IN_A_ROW == 0;
+    }
+
     /** Takes a load report; returns whether the limit fell back to the cold bound. */
     boolean report(TargetReport report, long nowNanos) {
         return ramp.report(report, nowNanos);
