Refuse work at an agent that has not completed a round trip since a pause

Change: heartbeats echo the last sequence number of the peer; the gate takes work only if a round trip with an entry began at most 1.5 s ago. Links keep their order, so a completed round trip proves that earlier changes have been read. Ruled out: the time of the last frame received, because a heartbeat from before the change may wait in the connection too; the confirmation by the object API, because its outage must not stop service.

--- a/masticfold-core/src/main/java/io/masticfold/core/config/ConfigReplica.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/config/ConfigReplica.java
@@ -16,6 +16,7 @@
 
     private final AtomicReference<ConfigSnapshot> current = new AtomicReference<>(ConfigSnapshot.EMPTY);
     private final AtomicReference<@Nullable Confirmation> confirmation = new AtomicReference<>();
+    private final AtomicReference<@Nullable Long> contactNanos = new AtomicReference<>();
     private final List<Consumer<ConfigSnapshot>> listeners = new CopyOnWriteArrayList<>();
 
     /** Returns the snapshot in force. */
@@ -69,6 +70,28 @@
         return OptionalLong.of(Math.max(0, nowNanos - known.atNanos()));
     }
 
+    /**
+     * Records a completed round trip with a peer. Whatever the peer had sent before it answered has been merged,
+     * because a link keeps its order; so the configuration in force is at least as new as the peer's was at that time.
+     *
+     * @param askedNanos time at which the round trip began, in nanoseconds of the monotonic clock
+     */
+    public void contacted(long askedNanos) {
+        contactNanos.updateAndGet(known -> known == null || askedNanos - known > 0 ? askedNanos : known);
+    }
+
+    /**
+     * Returns how long ago the latest completed round trip with a peer began. After a pause of the process the age
+     * shows that changes may wait unread in its connections.
+     *
+     * @param nowNanos current time, in nanoseconds of the monotonic clock
+     * @return the age, in nanoseconds; empty if the replica is not fed by peers
+     */
+    public OptionalLong contactAgeNanos(long nowNanos) {
+        Long known = contactNanos.get();
+        return known == null ? OptionalLong.empty() : OptionalLong.of(Math.max(0, nowNanos - known));
+    }
+
     /** Adds a listener that is called after each change, on the merging thread; snapshots may arrive out of order. */
     public void addListener(Consumer<ConfigSnapshot> listener) {
         listeners.add(listener);
--- a/masticfold-core/src/main/java/io/masticfold/core/gate/GateChecks.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/gate/GateChecks.java
@@ -8,7 +8,9 @@
 import io.masticfold.core.model.Zone;
 import io.masticfold.core.time.Deadline;
 import io.masticfold.core.time.TimeSource;
+import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
@@ -18,6 +20,12 @@
  */
 final class GateChecks {
 
+    /**
+     * Longest time since the latest round trip with an entry at which work is taken. Heartbeats complete one within
+     * about a second; a change must stop new work within two seconds.
+     */
+    static final Duration CONTACT_BOUND = Duration.ofMillis(1_500);
+
     private final AgentGateSettings settings;
     private final ConfigReplica config;
     private final TimeSource time;
@@ -46,6 +54,9 @@
         if (target.isEmpty() || zone.isEmpty()) {
             return ErrorKind.NO_CONFIGURATION;
         }
+        if (outOfContact()) {
+            return ErrorKind.NO_CONFIGURATION;
+        }
         if (!dispatch.agent().equals(settings.incarnation())) {
             return ErrorKind.STALE_INCARNATION;
         }
@@ -61,6 +72,15 @@
         return budgetRefusal(dispatch, deadline);
     }
 
+    /**
+     * A process that was frozen finds dispatches in its connections that were sent before a change it has not read yet.
+     * Until a round trip that began after the pause has completed, it cannot know and takes no new work.
+     */
+    private boolean outOfContact() {
+        OptionalLong age = config.contactAgeNanos(time.nanoTime());
+        return age.isPresent() && age.getAsLong() > CONTACT_BOUND.toNanos();
+    }
+
     /** Returns the reason to refuse an attempt for its remaining budget, null if the budget is enough. */
     @Nullable
     ErrorKind budgetRefusal(StageDispatch dispatch, Deadline deadline) {
--- a/masticfold-core/src/test/java/io/masticfold/core/gate/AgentGateTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/gate/AgentGateTests.java
@@ -92,6 +92,24 @@
         assertThat(bare.target().executions()).isEmpty();
     }
 
+    @Test
+    void afterAPauseWorkWaitsForARoundTripWithAnEntry() {
+        fixture.contact();
+        fixture.scheduler().advance(GateChecks.CONTACT_BOUND);
+        fixture.send(fixture.read());
+        assertThat(target.executions()).hasSize(1);
+
+        fixture.scheduler().advance(Duration.ofMillis(1));
+        assertThat(fixture.send(fixture.read()).outcomes())
+                .containsExactly(new StageRefused(ErrorKind.NO_CONFIGURATION, Duration.ZERO));
+        assertThat(target.executions()).hasSize(1);
+
+        target.complete(target.executions().get(0), "out");
+        fixture.contact();
+        fixture.send(fixture.read());
+        assertThat(target.executions()).hasSize(2);
+    }
+
     @ParameterizedTest
     @MethodSource("budgets")
     void aBudgetThatIsSpentOrTooShortIsRefused(long budgetMillis, long minimumMillis, ErrorKind kind) {
--- a/masticfold-core/src/test/java/io/masticfold/core/gate/GateFixture.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/gate/GateFixture.java
@@ -93,6 +93,11 @@
         return new AgentGate(settings, config, target, scheduler, telemetry);
     }
 
+    /** Completes a round trip with an entry that begins now. */
+    void contact() {
+        config.contacted(scheduler.nanoTime());
+    }
+
     AgentGate gate() {
         return gate;
     }
--- a/masticfold-wire/src/main/java/io/masticfold/wire/AbstractConnection.java
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/AbstractConnection.java
@@ -33,7 +33,7 @@
     private volatile long lastHeardNanos;
     private volatile boolean open = true;
     private volatile boolean peerLeaving;
-    private long sequence;
+    private final HeartbeatEchoes echoes = new HeartbeatEchoes();
     private boolean ended;
 
     /**
@@ -158,6 +158,7 @@
                 peer.identity().process(),
                 ctx.channel().remoteAddress(),
                 peer.identity().incarnation());
+        environment.config().contacted(environment.time().nanoTime() - peer.roundTripNanos());
         opened();
         sendHeartbeat();
     }
@@ -202,6 +203,9 @@
             environment.quota().granted(peer.identity(), shares(heartbeat), heartbeat.getConnectedEntries());
         }
         sync.heartbeat(heartbeat);
+        echoes.received(heartbeat.getSequence());
+        echoes.askedNanos(heartbeat.getEchoSequence())
+                .ifPresent(asked -> environment.config().contacted(asked));
     }
 
     private static List<WorkspaceDemand> demand(Heartbeat heartbeat) {
@@ -235,7 +239,9 @@
     /** Sends a heartbeat now, out of turn. Must be called on the loop. */
     final void sendHeartbeat() {
         ConfigSnapshot snapshot = environment.config().snapshot();
-        Heartbeat.Builder heartbeat = report().setSequence(++sequence)
+        Heartbeat.Builder heartbeat = report().setSequence(
+                        echoes.sending(environment.time().nanoTime()))
+                .setEchoSequence(echoes.lastReceived())
                 .setConfigRevision(snapshot.revision())
                 .setConfigDigest(snapshot.digest())
                 .setConfigAgeMillisPlusOne(sync.ageMillisPlusOne());
--- a/masticfold-wire/src/main/java/io/masticfold/wire/proto/Heartbeat.java
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/proto/Heartbeat.java
@@ -233,6 +233,21 @@
     return configAgeMillisPlusOne_;
   }
 
+  public static final int ECHO_SEQUENCE_FIELD_NUMBER = 10;
+  private long echoSequence_ = 0L;
+  /**
+   * <pre>
+   * Sequence of the last heartbeat received from the peer, 0 if none.
+   * </pre>
+   *
+   * <code>uint64 echo_sequence = 10;</code>
+   * @return The echoSequence.
+   */
+  @java.lang.Override
+  public long getEchoSequence() {
+    return echoSequence_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -274,6 +289,9 @@
     if (configAgeMillisPlusOne_ != 0L) {
       output.writeUInt64(9, configAgeMillisPlusOne_);
     }
+    if (echoSequence_ != 0L) {
+      output.writeUInt64(10, echoSequence_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -324,6 +342,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(9, configAgeMillisPlusOne_);
     }
+    if (echoSequence_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(10, echoSequence_);
+    }
     return size;
   }
   @java.lang.Override
@@ -369,6 +391,8 @@
         .equals(other.getShareList())) return false;
     if (getConfigAgeMillisPlusOne()
         != other.getConfigAgeMillisPlusOne()) return false;
+    if (getEchoSequence()
+        != other.getEchoSequence()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -409,6 +433,9 @@
     hash = (37 * hash) + CONFIG_AGE_MILLIS_PLUS_ONE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getConfigAgeMillisPlusOne());
+    hash = (37 * hash) + ECHO_SEQUENCE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEchoSequence());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -573,6 +600,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00000080);
       configAgeMillisPlusOne_ = 0L;
+      echoSequence_ = 0L;
       return this;
     }
 
@@ -653,6 +681,9 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.configAgeMillisPlusOne_ = configAgeMillisPlusOne_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.echoSequence_ = echoSequence_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -741,6 +772,9 @@
       if (other.getConfigAgeMillisPlusOne() != 0L) {
         setConfigAgeMillisPlusOne(other.getConfigAgeMillisPlusOne());
       }
+      if (other.getEchoSequence() != 0L) {
+        setEchoSequence(other.getEchoSequence());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -828,6 +862,11 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 72
+            case 80: {
+              echoSequence_ = input.readUInt64();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1648,6 +1687,50 @@
       return this;
     }
 
+    private long echoSequence_ ;
+    /**
+     * <pre>
+     * Sequence of the last heartbeat received from the peer, 0 if none.
+     * </pre>
+     *
+     * <code>uint64 echo_sequence = 10;</code>
+     * @return The echoSequence.
+     */
+    @java.lang.Override
+    public long getEchoSequence() {
+      return echoSequence_;
+    }
+    /**
+     * <pre>
+     * Sequence of the last heartbeat received from the peer, 0 if none.
+     * </pre>
+     *
+     * <code>uint64 echo_sequence = 10;</code>
+     * @param value The echoSequence to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEchoSequence(long value) {
+
+      echoSequence_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Sequence of the last heartbeat received from the peer, 0 if none.
+     * </pre>
+     *
+     * <code>uint64 echo_sequence = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEchoSequence() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      echoSequence_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:masticfold.Heartbeat)
   }
 
--- a/masticfold-wire/src/main/java/io/masticfold/wire/proto/HeartbeatOrBuilder.java
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/proto/HeartbeatOrBuilder.java
@@ -116,4 +116,14 @@
    * @return The configAgeMillisPlusOne.
    */
   long getConfigAgeMillisPlusOne();
+
+  /**
+   * <pre>
+   * Sequence of the last heartbeat received from the peer, 0 if none.
+   * </pre>
+   *
+   * <code>uint64 echo_sequence = 10;</code>
+   * @return The echoSequence.
+   */
+  long getEchoSequence();
 }
--- a/masticfold-wire/src/main/java/io/masticfold/wire/proto/Masticfold.java
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/proto/Masticfold.java
@@ -181,52 +181,52 @@
       "otaDemand\022\021\n\tworkspace\030\001 \001(\t\022\033\n\023requests" +
       "_per_second\030\002 \001(\001\022\030\n\020limit_per_second\030\003 " +
       "\001(\001\"<\n\nQuotaShare\022\021\n\tworkspace\030\001 \001(\t\022\033\n\023" +
-      "requests_per_second\030\002 \001(\001\"\215\002\n\tHeartbeat\022" +
+      "requests_per_second\030\002 \001(\001\"\244\002\n\tHeartbeat\022" +
       "\020\n\010sequence\030\001 \001(\004\022\027\n\017config_revision\030\002 \001" +
       "(\004\022\025\n\rconfig_digest\030\003 \001(\006\022\017\n\007leaving\030\004 \001" +
       "(\010\022\036\n\004load\030\005 \001(\0132\020.masticfold.Load\022\031\n\021co" +
       "nnected_entries\030\006 \001(\r\022\'\n\006demand\030\007 \003(\0132\027." +
       "masticfold.QuotaDemand\022%\n\005share\030\010 \003(\0132\026." +
       "masticfold.QuotaShare\022\"\n\032config_age_mill" +
-      "is_plus_one\030\t \001(\004\"\374\002\n\010Dispatch\022$\n\007attemp" +
-      "t\030\001 \001(\0132\023.masticfold.Attempt\022\022\n\nrequest_" +
-      "id\030\002 \001(\t\022\021\n\tworkspace\030\003 \001(\t\022\020\n\010pipeline\030" +
-      "\004 \001(\t\022\r\n\005stage\030\005 \001(\r\022\016\n\006target\030\006 \001(\t\022(\n\005" +
-      "agent\030\007 \001(\0132\031.masticfold.IncarnationId\022\022" +
-      "\n\nidempotent\030\010 \001(\010\022\020\n\010priority\030\t \001(\r\022\r\n\005" +
-      "worth\030\n \001(\001\022\025\n\rbudget_micros\030\013 \001(\004\022\026\n\016mi" +
-      "nimum_micros\030\014 \001(\004\022\021\n\tstreaming\030\r \001(\010\022\025\n" +
-      "\rresume_offset\030\016 \001(\004\022\023\n\013prefix_hash\030\017 \001(" +
-      "\006\022\014\n\004body\030\020 \001(\014\022\027\n\017config_revision\030\021 \001(\004" +
-      "\"L\n\005Chunk\022$\n\007attempt\030\001 \001(\0132\023.masticfold." +
-      "Attempt\022\016\n\006offset\030\002 \001(\004\022\r\n\005bytes\030\003 \001(\014\"\210" +
-      "\001\n\003End\022$\n\007attempt\030\001 \001(\0132\023.masticfold.Att" +
-      "empt\022\016\n\006result\030\002 \001(\014\022\023\n\013total_bytes\030\003 \001(" +
-      "\004\022\026\n\016service_micros\030\004 \001(\004\022\036\n\004load\030\005 \001(\0132" +
-      "\020.masticfold.Load\"y\n\007Refused\022$\n\007attempt\030" +
-      "\001 \001(\0132\023.masticfold.Attempt\022\014\n\004kind\030\002 \001(\t" +
-      "\022\032\n\022retry_after_millis\030\003 \001(\004\022\036\n\004load\030\004 \001" +
-      "(\0132\020.masticfold.Load\"i\n\006Failed\022$\n\007attemp" +
-      "t\030\001 \001(\0132\023.masticfold.Attempt\022\014\n\004kind\030\002 \001" +
-      "(\t\022\013\n\003ran\030\003 \001(\r\022\036\n\004load\030\004 \001(\0132\020.masticfo" +
-      "ld.Load\".\n\006Cancel\022$\n\007attempt\030\001 \001(\0132\023.mas" +
-      "ticfold.Attempt\"C\n\014WindowUpdate\022$\n\007attem" +
-      "pt\030\001 \001(\0132\023.masticfold.Attempt\022\r\n\005bytes\030\002" +
-      " \001(\r\"g\n\004Seal\022\017\n\007seal_id\030\001 \001(\004\022$\n\007attempt" +
-      "\030\002 \001(\0132\023.masticfold.Attempt\022(\n\005agent\030\003 \001" +
-      "(\0132\031.masticfold.IncarnationId\"=\n\tSealRep" +
-      "ly\022\017\n\007seal_id\030\001 \001(\004\022\017\n\007outcome\030\002 \001(\r\022\016\n\006" +
-      "result\030\003 \001(\014\"l\n\013ConfigEntry\022\014\n\004kind\030\001 \001(" +
-      "\t\022\014\n\004name\030\002 \001(\t\022\017\n\007version\030\003 \001(\004\022\021\n\tchan" +
-      "ge_id\030\004 \001(\t\022\017\n\007deleted\030\005 \001(\010\022\014\n\004spec\030\006 \001" +
-      "(\t\"E\n\013ConfigDelta\022(\n\007objects\030\001 \003(\0132\027.mas" +
-      "ticfold.ConfigEntry\022\014\n\004more\030\002 \001(\010\"E\n\rCon" +
-      "figRequest\022\026\n\016since_revision\030\001 \001(\004\022\016\n\006di" +
-      "gest\030\002 \001(\006\022\014\n\004full\030\003 \001(\010\".\n\rPermitReques" +
-      "t\022\016\n\006target\030\001 \001(\t\022\r\n\005bytes\030\002 \001(\004\"3\n\013Perm" +
-      "itReply\022\017\n\007granted\030\001 \001(\010\022\023\n\013term_millis\030" +
-      "\002 \001(\004B\036\n\030io.masticfold.wire.protoH\001P\001b\006p" +
-      "roto3"
+      "is_plus_one\030\t \001(\004\022\025\n\recho_sequence\030\n \001(\004" +
+      "\"\374\002\n\010Dispatch\022$\n\007attempt\030\001 \001(\0132\023.masticf" +
+      "old.Attempt\022\022\n\nrequest_id\030\002 \001(\t\022\021\n\tworks" +
+      "pace\030\003 \001(\t\022\020\n\010pipeline\030\004 \001(\t\022\r\n\005stage\030\005 " +
+      "\001(\r\022\016\n\006target\030\006 \001(\t\022(\n\005agent\030\007 \001(\0132\031.mas" +
+      "ticfold.IncarnationId\022\022\n\nidempotent\030\010 \001(" +
+      "\010\022\020\n\010priority\030\t \001(\r\022\r\n\005worth\030\n \001(\001\022\025\n\rbu" +
+      "dget_micros\030\013 \001(\004\022\026\n\016minimum_micros\030\014 \001(" +
+      "\004\022\021\n\tstreaming\030\r \001(\010\022\025\n\rresume_offset\030\016 " +
+      "\001(\004\022\023\n\013prefix_hash\030\017 \001(\006\022\014\n\004body\030\020 \001(\014\022\027" +
+      "\n\017config_revision\030\021 \001(\004\"L\n\005Chunk\022$\n\007atte" +
+      "mpt\030\001 \001(\0132\023.masticfold.Attempt\022\016\n\006offset" +
+      "\030\002 \001(\004\022\r\n\005bytes\030\003 \001(\014\"\210\001\n\003End\022$\n\007attempt" +
+      "\030\001 \001(\0132\023.masticfold.Attempt\022\016\n\006result\030\002 " +
+      "\001(\014\022\023\n\013total_bytes\030\003 \001(\004\022\026\n\016service_micr" +
+      "os\030\004 \001(\004\022\036\n\004load\030\005 \001(\0132\020.masticfold.Load" +
+      "\"y\n\007Refused\022$\n\007attempt\030\001 \001(\0132\023.masticfol" +
+      "d.Attempt\022\014\n\004kind\030\002 \001(\t\022\032\n\022retry_after_m" +
+      "illis\030\003 \001(\004\022\036\n\004load\030\004 \001(\0132\020.masticfold.L" +
+      "oad\"i\n\006Failed\022$\n\007attempt\030\001 \001(\0132\023.masticf" +
+      "old.Attempt\022\014\n\004kind\030\002 \001(\t\022\013\n\003ran\030\003 \001(\r\022\036" +
+      "\n\004load\030\004 \001(\0132\020.masticfold.Load\".\n\006Cancel" +
+      "\022$\n\007attempt\030\001 \001(\0132\023.masticfold.Attempt\"C" +
+      "\n\014WindowUpdate\022$\n\007attempt\030\001 \001(\0132\023.mastic" +
+      "fold.Attempt\022\r\n\005bytes\030\002 \001(\r\"g\n\004Seal\022\017\n\007s" +
+      "eal_id\030\001 \001(\004\022$\n\007attempt\030\002 \001(\0132\023.masticfo" +
+      "ld.Attempt\022(\n\005agent\030\003 \001(\0132\031.masticfold.I" +
+      "ncarnationId\"=\n\tSealReply\022\017\n\007seal_id\030\001 \001" +
+      "(\004\022\017\n\007outcome\030\002 \001(\r\022\016\n\006result\030\003 \001(\014\"l\n\013C" +
+      "onfigEntry\022\014\n\004kind\030\001 \001(\t\022\014\n\004name\030\002 \001(\t\022\017" +
+      "\n\007version\030\003 \001(\004\022\021\n\tchange_id\030\004 \001(\t\022\017\n\007de" +
+      "leted\030\005 \001(\010\022\014\n\004spec\030\006 \001(\t\"E\n\013ConfigDelta" +
+      "\022(\n\007objects\030\001 \003(\0132\027.masticfold.ConfigEnt" +
+      "ry\022\014\n\004more\030\002 \001(\010\"E\n\rConfigRequest\022\026\n\016sin" +
+      "ce_revision\030\001 \001(\004\022\016\n\006digest\030\002 \001(\006\022\014\n\004ful" +
+      "l\030\003 \001(\010\".\n\rPermitRequest\022\016\n\006target\030\001 \001(\t" +
+      "\022\r\n\005bytes\030\002 \001(\004\"3\n\013PermitReply\022\017\n\007grante" +
+      "d\030\001 \001(\010\022\023\n\013term_millis\030\002 \001(\004B\036\n\030io.masti" +
+      "cfold.wire.protoH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -285,7 +285,7 @@
     internal_static_masticfold_Heartbeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_Heartbeat_descriptor,
-        new java.lang.String[] { "Sequence", "ConfigRevision", "ConfigDigest", "Leaving", "Load", "ConnectedEntries", "Demand", "Share", "ConfigAgeMillisPlusOne", });
+        new java.lang.String[] { "Sequence", "ConfigRevision", "ConfigDigest", "Leaving", "Load", "ConnectedEntries", "Demand", "Share", "ConfigAgeMillisPlusOne", "EchoSequence", });
     internal_static_masticfold_Dispatch_descriptor =
       getDescriptor().getMessageType(9);
     internal_static_masticfold_Dispatch_fieldAccessorTable = new
