Run calls of the process tests on an executor of their own

Change: AbstractScenarioTests owns an executor, async() and payAsync(), and ends it after each test. Ruled out: suppressing the check, because the common pool would be shared with the code under test.

--- a/masticfold-cli/src/test/java/io/masticfold/cli/process/AbstractScenarioTests.java
+++ b/masticfold-cli/src/test/java/io/masticfold/cli/process/AbstractScenarioTests.java
@@ -5,6 +5,11 @@
 import io.masticfold.testkit.targets.TargetFault;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Tag;
@@ -19,6 +24,7 @@
     @TempDir
     private Path directory;
 
+    private final ExecutorService executor = Executors.newCachedThreadPool();
     private SmallDeployment deployment;
 
     @BeforeEach
@@ -28,6 +34,7 @@
 
     @AfterEach
     void stop() throws Exception {
+        executor.shutdownNow();
         if (deployment != null) {
             deployment.close();
         }
@@ -41,6 +48,16 @@
         return directory;
     }
 
+    /** Runs a call beside the test. */
+    <T> CompletableFuture<T> async(Supplier<T> call) {
+        return CompletableFuture.supplyAsync(call, executor);
+    }
+
+    /** Sends a payment through the first entry beside the test. */
+    CompletableFuture<Optional<Reply>> payAsync(String operation) {
+        return async(() -> Caller.tryCall(deployment.entry(0), "payment", operation));
+    }
+
     /** Makes payments take about a second, so that a test can act while one runs. */
     void slowPayments() throws IOException {
         deployment.target("pay-a").fault(TargetFault.SLOW_PERCENT, SLOW_PERCENT);
--- a/masticfold-cli/src/test/java/io/masticfold/cli/process/CrashTests.java
+++ b/masticfold-cli/src/test/java/io/masticfold/cli/process/CrashTests.java
@@ -30,8 +30,7 @@
     @Test
     void retriesThroughAnotherEntryWhenOneDiesInAPayment() throws Exception {
         slowPayments();
-        CompletableFuture<Optional<Reply>> first =
-                CompletableFuture.supplyAsync(() -> Caller.tryCall(deployment().entry(0), "payment", "pay-1"));
+        CompletableFuture<Optional<Reply>> first = payAsync("pay-1");
         awaitStarted("pay-1");
         deployment().entry(0).process().kill();
         assertThat(first.get(20, TimeUnit.SECONDS)).isEmpty();
@@ -45,8 +44,7 @@
     @Test
     void tellsThatTheOutcomeIsUnknownWhenTheAgentDies() throws Exception {
         slowPayments();
-        CompletableFuture<Optional<Reply>> first =
-                CompletableFuture.supplyAsync(() -> Caller.tryCall(deployment().entry(0), "payment", "pay-1"));
+        CompletableFuture<Optional<Reply>> first = payAsync("pay-1");
         awaitStarted("pay-1");
         String target = deployment().target("pay-a").ran("pay-1").isEmpty() ? "pay-b" : "pay-a";
         deployment().agent(target).process().kill();
--- a/masticfold-cli/src/test/java/io/masticfold/cli/process/InterruptionTests.java
+++ b/masticfold-cli/src/test/java/io/masticfold/cli/process/InterruptionTests.java
@@ -16,7 +16,7 @@
     @Test
     void settlesAPaymentWhoseLinkIsCut() throws Exception {
         slowPayments();
-        CompletableFuture<Optional<Reply>> first = callAsync("pay-1");
+        CompletableFuture<Optional<Reply>> first = payAsync("pay-1");
         awaitStarted("pay-1");
         PAYMENT_TARGETS.forEach(target -> deployment().link(target).cut());
         Reply reply = first.get(20, TimeUnit.SECONDS).orElseThrow();
@@ -36,7 +36,7 @@
         }
         Reply reply;
         try {
-            reply = callAsync("pay-1").get(20, TimeUnit.SECONDS).orElseThrow();
+            reply = payAsync("pay-1").get(20, TimeUnit.SECONDS).orElseThrow();
         } finally {
             for (String target : PAYMENT_TARGETS) {
                 deployment().agent(target).process().resume();
@@ -52,7 +52,7 @@
     @Test
     void settlesAPaymentWhoseEntryWasFrozen() throws Exception {
         slowPayments();
-        CompletableFuture<Optional<Reply>> first = callAsync("pay-1");
+        CompletableFuture<Optional<Reply>> first = payAsync("pay-1");
         awaitStarted("pay-1");
         deployment().entry(0).process().freeze();
         Reply retried;
@@ -68,8 +68,4 @@
                 .isTrue();
         assertThat(deployment().payments("pay-1")).isEqualTo(1);
     }
-
-    private CompletableFuture<Optional<Reply>> callAsync(String operation) {
-        return CompletableFuture.supplyAsync(() -> Caller.tryCall(deployment().entry(0), "payment", operation));
-    }
 }
--- a/masticfold-cli/src/test/java/io/masticfold/cli/process/ZoneTests.java
+++ b/masticfold-cli/src/test/java/io/masticfold/cli/process/ZoneTests.java
@@ -63,7 +63,7 @@
     void letsOneOfSeveralOperatorsWin() throws Exception {
         long before = version();
         List<CompletableFuture<HttpOnce.Answer>> operators = IntStream.range(0, 4)
-                .mapToObj(i -> CompletableFuture.supplyAsync(() -> change(i, before)))
+                .mapToObj(i -> async(() -> change(i, before)))
                 .toList();
         String winner = "";
         List<String> namedToLosers = new ArrayList<>();
