--- a/masticfold-core/src/test/java/io/masticfold/core/matrix/MatrixLink.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/matrix/MatrixLink.java
@@ -79,6 +79,10 @@
         }
         if (alive && exchange) {
             push();
+            long asked = world.clock.nanoTime();
+            if (!world.off(Mutation.CONTACT_CHECK)) {
+                transmit(agent, () -> agent.contacted(asked), () -> {});
+            }
             transmit(entry, () -> entry.merge(agent.snapshot().objects()), () -> {});
         }
     }
@@ -101,7 +105,7 @@
         up = false;
         List.copyOf(open.keySet()).forEach(attempt -> {
             StageListener listener = open.remove(attempt);
-            boolean sent = written.contains(attempt);
+            boolean sent = written.contains(attempt) && !world.off(Mutation.LINK_LOSS_UNKNOWN);
             StageOutcome outcome = sent
                     ? new StageFailed(ErrorKind.LINK_LOST, Ran.UNKNOWN)
                     : new StageRefused(ErrorKind.TARGET_UNREACHABLE, Duration.ZERO);
--- /dev/null
+++ b/masticfold-core/src/test/java/io/masticfold/core/matrix/MutationTests.java
@@ -0,0 +1,71 @@
+package io.masticfold.core.matrix;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.TestInstance;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Guards against a matrix that would not notice the absence of a mechanism. */
+@Tag("fault-matrix")
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+final class MutationTests {
+
+    private static final long ORDER_SEED = 20261204;
+
+    private final List<String> rows = new ArrayList<>();
+
+    @ParameterizedTest
+    @EnumSource(Mutation.class)
+    void theMatrixFailsWithoutTheMechanism(Mutation mutation) {
+        int run = 0;
+        String last = "none";
+        List<Violation> violations = List.of();
+        Iterator<Cell> cells = cells().iterator();
+        while (violations.isEmpty() && cells.hasNext()) {
+            Cell cell = cells.next();
+            last = cell.toString();
+            violations = new MatrixWorld(cell, mutation).run();
+            run++;
+        }
+        String names = violations.stream()
+                .map(violation -> violation.invariant().name())
+                .distinct()
+                .collect(Collectors.joining(" "));
+        String row = mutation + "\t" + (violations.isEmpty() ? "MISSED" : "noticed") + '\t' + run + '\t' + names + '\t'
+                + last;
+        rows.add(row);
+        System.out.println(row);
+        assertThat(violations).as("violations without %s", mutation).isNotEmpty();
+    }
+
+    /** Returns cells that hold with every mechanism in place, in an order that reaches every step soon. */
+    private static List<Cell> cells() {
+        List<Cell> cells = new ArrayList<>(FaultMatrixTests.cells().stream()
+                .filter(cell -> !cell.checksFencing())
+                .filter(cell -> ImpossibleCell.of(cell).isEmpty())
+                .toList());
+        Collections.shuffle(cells, new Random(ORDER_SEED));
+        return cells;
+    }
+
+    @AfterAll
+    void writeTable() throws IOException {
+        Path table = Path.of("target", "mutations.tsv");
+        Files.createDirectories(table.getParent());
+        List<String> lines = new ArrayList<>(List.of("mechanism\toutcome\tcells run until then\tinvariants\tcell"));
+        lines.addAll(rows);
+        Files.write(table, lines);
+    }
+}
--- a/masticfold-wire/src/main/java/io/masticfold/wire/AbstractConnection.java
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/AbstractConnection.java
@@ -33,7 +33,7 @@
     private volatile long lastHeardNanos;
     private volatile boolean open = true;
     private volatile boolean peerLeaving;
-    private long sequence;
+    private final HeartbeatEchoes echoes = new HeartbeatEchoes();
     private boolean ended;
 
     /**
@@ -60,6 +60,9 @@
     /** Creates a heartbeat with the fields that are particular to the side. */
     abstract Heartbeat.Builder report();
 
+    /** Takes note that nothing has been heard for longer than a usable link allows; called at each tick. */
+    void silent() {}
+
     /** Starts to work; the connection can send from here on. */
     abstract void opened();
 
@@ -158,6 +161,7 @@
                 peer.identity().process(),
                 ctx.channel().remoteAddress(),
                 peer.identity().incarnation());
+        environment.config().contacted(environment.time().nanoTime() - peer.roundTripNanos());
         opened();
         sendHeartbeat();
     }
@@ -202,6 +206,9 @@
             environment.quota().granted(peer.identity(), shares(heartbeat), heartbeat.getConnectedEntries());
         }
         sync.heartbeat(heartbeat);
+        echoes.received(heartbeat.getSequence());
+        echoes.askedNanos(heartbeat.getEchoSequence())
+                .ifPresent(asked -> environment.config().contacted(asked));
     }
 
     private static List<WorkspaceDemand> demand(Heartbeat heartbeat) {
@@ -229,13 +236,18 @@
             close();
             return;
         }
+        if (!alive()) {
+            silent();
+        }
         sendHeartbeat();
     }
 
     /** Sends a heartbeat now, out of turn. Must be called on the loop. */
     final void sendHeartbeat() {
         ConfigSnapshot snapshot = environment.config().snapshot();
-        Heartbeat.Builder heartbeat = report().setSequence(++sequence)
+        Heartbeat.Builder heartbeat = report().setSequence(
+                        echoes.sending(environment.time().nanoTime()))
+                .setEchoSequence(echoes.lastReceived())
                 .setConfigRevision(snapshot.revision())
                 .setConfigDigest(snapshot.digest())
                 .setConfigAgeMillisPlusOne(sync.ageMillisPlusOne());
