Steer shedding by the filling of the gates' queues; share one event-loop scheduler

Change: the admitted share follows the work in flight and waiting, as a multiple of the limits, that answers carry; refusals count as pressure only above a fifth. Also: three copies of the event-loop scheduler and two of the numeric resolver became one each; the scheduler rounds delays up and releases cancelled timers.

--- a/masticfold-agent/src/main/java/io/masticfold/agent/AgentDaemon.java
+++ b/masticfold-agent/src/main/java/io/masticfold/agent/AgentDaemon.java
@@ -14,6 +14,7 @@
 import io.masticfold.core.time.Cancellable;
 import io.masticfold.core.time.Scheduler;
 import io.masticfold.core.time.TimeSource;
+import io.masticfold.platform.http.EventloopScheduler;
 import io.masticfold.platform.json.JsonSpecCodec;
 import io.masticfold.platform.settings.AgentSettings;
 import io.masticfold.wire.AgentState;
--- a/masticfold-agent/src/main/java/io/masticfold/agent/HttpTargetClient.java
+++ b/masticfold-agent/src/main/java/io/masticfold/agent/HttpTargetClient.java
@@ -17,6 +17,7 @@
 import io.masticfold.core.gate.TargetListener;
 import io.masticfold.core.time.Deadline;
 import io.masticfold.core.time.TimeSource;
+import io.masticfold.platform.http.NumericDnsClient;
 import java.net.InetSocketAddress;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
--- a/masticfold-agent/src/main/java/io/masticfold/agent/LoadPoller.java
+++ b/masticfold-agent/src/main/java/io/masticfold/agent/LoadPoller.java
@@ -9,6 +9,7 @@
 import io.masticfold.core.error.MasticfoldException;
 import io.masticfold.core.gate.TargetReport;
 import io.masticfold.core.telemetry.Telemetry;
+import io.masticfold.platform.http.NumericDnsClient;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
--- a/masticfold-core/src/main/java/io/masticfold/core/routing/DefaultRoute.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/routing/DefaultRoute.java
@@ -49,7 +49,7 @@
         }
         TargetStats stats = chosen.stats();
         stats.release(load);
-        signals.observe(chosen.target().pool(), overloaded(outcome));
+        signals.observe(chosen.target().pool(), overloaded(outcome), load);
         if (outcome instanceof StageCompleted) {
             stats.completed(elapsedNanos);
         } else if (blamesTarget(outcome)) {
--- a/masticfold-core/src/main/java/io/masticfold/core/shed/PoolShedder.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/shed/PoolShedder.java
@@ -11,9 +11,10 @@
 /**
  * Sheds the requests of least worth per unit of cost when a pool is overloaded.
  *
- * <p>The admitted share of the offered cost falls with the share of attempts refused for lack of capacity, and grows
- * slowly otherwise. A histogram of the offered cost by worth per cost turns the share into a cut-off; the bucket at the
- * cut-off is admitted in part, so that equal requests do not swing between all and none.
+ * <p>The admitted share of the offered cost is steered so that the targets' queues stay filled to a set multiple of
+ * their limits: refusals alone come only after the queues have filled, too late for a steady control. A histogram of
+ * the offered cost by worth per cost turns the share into a cut-off; the bucket at the cut-off is admitted in part, so
+ * that equal requests do not swing between all and none.
  */
 final class PoolShedder {
 
@@ -30,6 +31,7 @@
     private final double[] histogram = new double[BUCKETS];
     private final LongAdder ended = new LongAdder();
     private final LongAdder overloaded = new LongAdder();
+    private final DoubleAdder utilization = new DoubleAdder();
     private final AtomicLong windowEnd;
     private volatile Cutoff cutoff = Cutoff.OPEN;
     private volatile double admittedShare = 1;
@@ -54,8 +56,9 @@
         return bucket > current.bucket();
     }
 
-    void observe(boolean wasOverloaded) {
+    void observe(boolean wasOverloaded, double targetUtilization) {
         ended.increment();
+        utilization.add(targetUtilization);
         if (wasOverloaded) {
             overloaded.increment();
         }
@@ -79,21 +82,25 @@
         }
     }
 
-    /** A window with few samples counts only if none of them was overloaded; otherwise the samples are carried over. */
     private void adjustShare() {
-        if (ended.sum() < settings.minimumSamples() && overloaded.sum() > 0) {
-            return;
-        }
-        double share = overloaded.sumThenReset() / (double) Math.max(1, ended.sumThenReset());
-        if (share > settings.overloadShare()) {
-            double factor = Math.max(settings.decreaseLeast(), 1 - (share - settings.overloadShare()));
+        double pressure = pressure();
+        if (pressure > 1) {
+            double factor = Math.max(settings.decreaseLeast(), 1 - settings.gain() * (pressure - 1));
             admittedShare = Math.max(settings.floor(), admittedShare * factor);
         } else {
-            double grown = admittedShare * (1 + settings.growth()) + settings.increase();
-            admittedShare = Math.min(1, grown);
+            double step = admittedShare * settings.growth() + settings.increase();
+            admittedShare = Math.min(1, admittedShare + step * (1 - pressure));
         }
     }
 
+    /** Returns the pressure of the window: 1 keeps the admitted share, more lowers it, less raises it. */
+    private double pressure() {
+        long samples = ended.sumThenReset();
+        double refused = overloaded.sumThenReset() / (double) Math.max(1, samples);
+        double filled = utilization.sumThenReset() / Math.max(1, samples) / settings.targetUtilization();
+        return refused > settings.overloadShare() ? Math.max(filled, 1 + refused) : filled;
+    }
+
     private void adjustCutoff() {
         double total = 0;
         for (int i = 0; i < BUCKETS; i++) {
--- a/masticfold-core/src/main/java/io/masticfold/core/shed/SheddingAdmission.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/shed/SheddingAdmission.java
@@ -1,5 +1,6 @@
 package io.masticfold.core.shed;
 
+import io.masticfold.core.attempt.TargetLoad;
 import io.masticfold.core.error.ErrorKind;
 import io.masticfold.core.limit.AdmissionDecision;
 import io.masticfold.core.limit.RequestAdmission;
@@ -58,8 +59,8 @@
     }
 
     @Override
-    public void observe(String pool, boolean overloaded) {
-        shedder(pool).observe(overloaded);
+    public void observe(String pool, boolean overloaded, TargetLoad load) {
+        shedder(pool).observe(overloaded, load.utilization());
     }
 
     /** Returns the admitted share of the offered cost of a pool, 1 if nothing is shed. */
--- a/masticfold-core/src/test/java/io/masticfold/core/shed/PoolShedderTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/shed/PoolShedderTests.java
@@ -59,7 +59,7 @@
                 taken++;
                 boolean overloaded = taken > capacityPerWindow;
                 served.worth += overloaded ? 0 : worth;
-                shedder.observe(overloaded);
+                shedder.observe(overloaded, Math.min(1, taken / (double) capacityPerWindow));
             }
             time.advance(Duration.ofMillis(ShedSettings.DEFAULT.windowMillis()));
         }
--- a/masticfold-platform/src/main/java/io/masticfold/platform/http/EventloopScheduler.java
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/http/EventloopScheduler.java
@@ -7,24 +7,21 @@
 import io.masticfold.core.time.TimeSource;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import org.jspecify.annotations.Nullable;
 
-/** Schedules tasks on an event loop from any thread. */
-final class EventloopScheduler implements Scheduler {
+/** Schedules tasks on an ActiveJ event loop, from any thread. */
+public final class EventloopScheduler implements Scheduler {
+
+    private static final Duration ROUND_UP = Duration.ofNanos(999_999);
 
     private final Eventloop eventloop;
-    private final TimeSource time = TimeSource.system();
+    private final TimeSource time;
 
-    EventloopScheduler(Eventloop eventloop) {
+    /** Creates the scheduler of an event loop. */
+    public EventloopScheduler(Eventloop eventloop, TimeSource time) {
         this.eventloop = eventloop;
-    }
-
-    @Override
-    public Cancellable schedule(Duration delay, Runnable task) {
-        Task scheduled = new Task(task);
-        eventloop.execute(() -> scheduled.scheduleOn(eventloop, delay));
-        return () -> scheduled.cancel(eventloop);
+        this.time = time;
     }
 
     @Override
@@ -37,36 +34,55 @@
         return time.now();
     }
 
-    private static final class Task {
+    /** Rounds the delay up to milliseconds, the resolution of the event loop, so that no task runs early. */
+    @Override
+    public Cancellable schedule(Duration delay, Runnable task) {
+        Task scheduled = new Task(task);
+        long millis = delay.plus(ROUND_UP).toMillis();
+        if (delay.isNegative() || millis == 0) {
+            eventloop.execute(scheduled);
+        } else {
+            eventloop.execute(() -> scheduled.startTimer(eventloop, millis));
+        }
+        return () -> scheduled.cancel(eventloop);
+    }
 
-        private final Runnable task;
-        private final AtomicBoolean cancelled = new AtomicBoolean();
-        private @Nullable ScheduledRunnable handle;
+    private static final class Task implements Runnable {
+
+        private final AtomicReference<@Nullable Runnable> pending;
+
+        /** Confined to the event loop. */
+        private @Nullable ScheduledRunnable timer;
 
         Task(Runnable task) {
-            this.task = task;
+            this.pending = new AtomicReference<>(task);
         }
 
-        void scheduleOn(Eventloop eventloop, Duration delay) {
-            long millis = Math.max(0, delay.toMillis());
-            // Background tasks do not keep the event loop alive at shutdown.
-            handle = eventloop.delayBackground(millis, this::run);
+        /** Uses background timers, which do not keep the event loop alive at shutdown. */
+        void startTimer(Eventloop eventloop, long millis) {
+            if (pending.get() != null) {
+                timer = eventloop.delayBackground(millis, this);
+            }
         }
 
-        private void run() {
-            if (!cancelled.get()) {
+        @Override
+        public void run() {
+            Runnable task = pending.getAndSet(null);
+            if (task != null) {
                 task.run();
             }
         }
 
-        void cancel(Eventloop loop) {
-            cancelled.set(true);
-            loop.execute(this::release);
+        /** Releases the timer too, so that a cancelled deadline does not stay in memory until it is due. */
+        void cancel(Eventloop eventloop) {
+            if (pending.getAndSet(null) != null) {
+                eventloop.execute(this::releaseTimer);
+            }
         }
 
-        private void release() {
-            if (handle != null) {
-                handle.cancel();
+        private void releaseTimer() {
+            if (timer != null) {
+                timer.cancel();
             }
         }
     }
--- a/masticfold-platform/src/main/java/io/masticfold/platform/http/HttpChannel.java
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/http/HttpChannel.java
@@ -8,6 +8,7 @@
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
 import io.masticfold.core.time.Scheduler;
+import io.masticfold.core.time.TimeSource;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
@@ -85,7 +86,7 @@
 
     /** Returns a scheduler that runs tasks on the event loop. */
     public Scheduler scheduler() {
-        return new EventloopScheduler(eventloop);
+        return new EventloopScheduler(eventloop, TimeSource.system());
     }
 
     /**
