--- a/masticfold-cli/src/main/java/io/masticfold/cli/bench/BenchWorkspace.java
+++ b/masticfold-cli/src/main/java/io/masticfold/cli/bench/BenchWorkspace.java
@@ -1,5 +1,6 @@
 package io.masticfold.cli.bench;
 
+import io.masticfold.core.attempt.Payload;
 import io.masticfold.core.model.Contract;
 import java.util.List;
 
@@ -35,7 +36,7 @@
         return new Contract(
                 code,
                 code,
-                ConfigTextSupport.sha256(key()),
+                Payload.ofUtf8(key()).sha256(),
                 BenchSizes.WINDOW_MILLIS,
                 worth,
                 priority,
--- a/masticfold-core/src/main/java/io/masticfold/core/attempt/Payload.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/attempt/Payload.java
@@ -1,7 +1,10 @@
 package io.masticfold.core.attempt;
 
 import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
 import java.util.Arrays;
+import java.util.HexFormat;
 import org.jspecify.annotations.Nullable;
 
 /** Holds immutable bytes. */
@@ -41,6 +44,15 @@
         return new String(bytes, StandardCharsets.UTF_8);
     }
 
+    /** Returns the SHA-256 of the bytes, in lower-case hexadecimal digits. */
+    public String sha256() {
+        try {
+            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+
     @Override
     public boolean equals(@Nullable Object other) {
         return other instanceof Payload that && Arrays.equals(bytes, that.bytes);
--- a/masticfold-core/src/main/java/io/masticfold/core/pipeline/FingerprintSupport.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/pipeline/FingerprintSupport.java
@@ -1,10 +1,6 @@
 package io.masticfold.core.pipeline;
 
 import io.masticfold.core.attempt.Payload;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.Objects;
 import org.jspecify.annotations.Nullable;
 
@@ -15,7 +11,7 @@
 
     /** Returns the digest of a payload, in lower-case hexadecimal digits. */
     static String of(Payload payload) {
-        return digest(payload.unsafeBytes());
+        return payload.sha256();
     }
 
     /**
@@ -25,14 +21,6 @@
      */
     static String ofKey(@Nullable String idempotencyKey) {
         String key = Objects.requireNonNull(idempotencyKey, "a non-idempotent stage needs an idempotency key");
-        return digest(key.getBytes(StandardCharsets.UTF_8));
-    }
-
-    private static String digest(byte[] bytes) {
-        try {
-            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java platform has SHA-256", e);
-        }
+        return Payload.ofUtf8(key).sha256();
     }
 }
--- a/masticfold-entry/src/main/java/io/masticfold/entry/http/RequestParser.java
+++ b/masticfold-entry/src/main/java/io/masticfold/entry/http/RequestParser.java
@@ -74,7 +74,7 @@
             throw new MasticfoldException(
                     ErrorKind.UNAUTHENTICATED, "the request needs a header 'Authorization: Bearer <key>'");
         }
-        String key = DigestSupport.sha256(authorization.substring(BEARER.length()));
+        String key = Payload.ofUtf8(authorization.substring(BEARER.length())).sha256();
         Contract contract = snapshot.contractByKey(key)
                 .orElseThrow(() -> new MasticfoldException(
                         ErrorKind.UNAUTHENTICATED, "no contract has the key of the Authorization header"));
--- a/masticfold-entry/src/test/java/io/masticfold/entry/http/BadRequestTests.java
+++ b/masticfold-entry/src/test/java/io/masticfold/entry/http/BadRequestTests.java
@@ -129,7 +129,7 @@
         Contract contract = new Contract(
                 "shop",
                 "shop",
-                DigestSupport.sha256("caller-key"),
+                Payload.ofUtf8("caller-key").sha256(),
                 1_000,
                 1,
                 5,
