--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayContext.java
@@ -0,0 +1,29 @@
+package io.masticfold.gateway;
+
+import io.masticfold.core.telemetry.Telemetry;
+import io.masticfold.core.time.Scheduler;
+import io.masticfold.gateway.http.HttpClient;
+import io.masticfold.gateway.log.DecisionLog;
+import io.masticfold.gateway.protocol.PlatformProtocol;
+import io.masticfold.gateway.settings.GatewaySettings;
+import io.masticfold.gateway.store.PlatformView;
+
+/**
+ * Holds what every part of the request path uses.
+ *
+ * @param settings settings of this gateway
+ * @param protocol names, formats and calls of the platform
+ * @param client sends requests to servers
+ * @param scheduler time and timers of the event loop
+ * @param view what is known of the platform
+ * @param log decision log
+ * @param telemetry counters
+ */
+public record GatewayContext(
+        GatewaySettings settings,
+        PlatformProtocol protocol,
+        HttpClient client,
+        Scheduler scheduler,
+        PlatformView view,
+        DecisionLog log,
+        Telemetry telemetry) {}
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -0,0 +1,205 @@
+package io.masticfold.gateway;
+
+import io.masticfold.core.forward.ForwardConfig;
+import io.masticfold.core.forward.RequestLimits;
+import io.masticfold.core.retry.RetryBudget;
+import io.masticfold.core.retry.WindowRetryBudget;
+import io.masticfold.core.telemetry.Telemetry;
+import io.masticfold.core.time.Scheduler;
+import io.masticfold.core.time.TimeSource;
+import io.masticfold.gateway.http.CallResult;
+import io.masticfold.gateway.http.EventLoopScheduler;
+import io.masticfold.gateway.http.FrontServer;
+import io.masticfold.gateway.http.HttpClient;
+import io.masticfold.gateway.log.DecisionLog;
+import io.masticfold.gateway.log.GatewayEvent;
+import io.masticfold.gateway.protocol.GatewayAddress;
+import io.masticfold.gateway.protocol.PlatformProtocol;
+import io.masticfold.gateway.protocol.StoreKind;
+import io.masticfold.gateway.request.ForwardHandler;
+import io.masticfold.gateway.request.TargetPools;
+import io.masticfold.gateway.settings.GatewaySettings;
+import io.masticfold.gateway.stage.StagePools;
+import io.masticfold.gateway.store.ObjectStoreClient;
+import io.masticfold.gateway.store.PlatformView;
+import io.masticfold.gateway.store.PlatformWatch;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+
+/** Runs one gateway: callers, targets and store on one event loop. */
+public final class GatewayDaemon {
+
+    /** Time after the request to stop during which callers that do not know yet may still open connections. */
+    private static final Duration STOP_ACCEPTING_AFTER = Duration.ofMillis(3200);
+
+    /** Time between two looks whether the last request is done. */
+    private static final Duration STOP_CHECK = Duration.ofMillis(50);
+
+    /** Time between two closings of connections that were idle for too long. */
+    private static final Duration IDLE_CHECK = Duration.ofMillis(500);
+
+    /** Time for writing the own entry. */
+    private static final Duration REGISTER_TIMEOUT = Duration.ofSeconds(1);
+
+    /** Pause before the own entry is written again after a failure. */
+    private static final Duration REGISTER_PAUSE = Duration.ofSeconds(1);
+
+    private static final int CONFLICT = 409;
+
+    private final GatewaySettings settings;
+    private final PlatformProtocol protocol;
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final CountDownLatch stopped = new CountDownLatch(1);
+    private final PlatformView view = new PlatformView();
+    private final Scheduler scheduler;
+    private final HttpClient client;
+    private final DecisionLog log;
+    private final ObjectStoreClient store;
+    private final PlatformWatch watch;
+    private final FrontServer front;
+    private final FrontServer readiness;
+    private volatile boolean stopping;
+    private boolean readyLogged;
+
+    /**
+     * Creates a gateway.
+     *
+     * @param telemetry counters
+     */
+    public GatewayDaemon(GatewaySettings settings, PlatformProtocol protocol, Telemetry telemetry) {
+        this.settings = settings;
+        this.protocol = protocol;
+        TimeSource time = TimeSource.system();
+        EventLoop loop = group.next();
+        this.scheduler = new EventLoopScheduler(loop, time);
+        this.client = new HttpClient(group, time);
+        this.log = new DecisionLog(time, telemetry);
+        this.store = new ObjectStoreClient(client, scheduler, settings.store());
+        this.watch = new PlatformWatch(store, protocol.store(), scheduler, view, log);
+        GatewayContext context = new GatewayContext(settings, protocol, client, scheduler, view, log, telemetry);
+        ForwardHandler handler = new ForwardHandler(
+                context,
+                new StagePools(context, _name -> retryBudget()),
+                new TargetPools(context, _name -> retryBudget()));
+        this.front = new FrontServer(group, time, this::limits, handler, reason -> {
+            telemetry.count("bad_request_" + reason.code());
+            log.failure(GatewayEvent.BAD_REQUEST)
+                    .addKeyValue("reason", reason.code())
+                    .log();
+        });
+        this.readiness = new FrontServer(
+                group,
+                time,
+                () -> RequestLimits.DEFAULT,
+                new ReadinessHandler(protocol.readinessPath(), this::ready),
+                _reason -> telemetry.count("bad_probe"));
+    }
+
+    private RetryBudget retryBudget() {
+        return new WindowRetryBudget(
+                scheduler,
+                settings.retryWindow(),
+                settings.retryRatio(),
+                () -> settings.retryExtra() / view.sharingGateways());
+    }
+
+    private RequestLimits limits() {
+        return Optional.ofNullable(view.config()).map(ForwardConfig::limits).orElse(RequestLimits.DEFAULT);
+    }
+
+    /**
+     * Opens the sockets and starts to read the store.
+     *
+     * @throws InterruptedException if interrupted while binding
+     */
+    public void start() throws InterruptedException {
+        readiness.start(settings.readiness());
+        front.start(settings.listen());
+        EventLoop loop = group.next();
+        loop.execute(() -> {
+            watch.start();
+            register();
+            closeIdle();
+            log.failure(GatewayEvent.STARTED)
+                    .addKeyValue("node", settings.node())
+                    .addKeyValue("zone", settings.zone())
+                    .log();
+        });
+    }
+
+    private void closeIdle() {
+        client.closeExpired();
+        scheduler.schedule(IDLE_CHECK, this::closeIdle);
+    }
+
+    private void register() {
+        GatewayAddress own = new GatewayAddress(settings.node(), settings.zone(), settings.peer());
+        store.create(
+                protocol.store().createUri(StoreKind.GATEWAYS),
+                protocol.store().encodeGateway(settings.node(), own),
+                REGISTER_TIMEOUT,
+                result -> {
+                    boolean exists = result instanceof CallResult.Answered answered
+                            && (answered.status() < 300 || answered.status() == CONFLICT);
+                    if (!exists) {
+                        scheduler.schedule(REGISTER_PAUSE, this::register);
+                    }
+                });
+    }
+
+    /** Returns whether this gateway wants new connections. */
+    public boolean ready() {
+        boolean ready = !stopping && watch.complete();
+        if (ready && !readyLogged) {
+            readyLogged = true;
+            log.failure(GatewayEvent.READY).log();
+        }
+        return ready;
+    }
+
+    /** Starts to stop: no new connections, then the end of the process once every request is answered. */
+    public void stop() {
+        if (stopping) {
+            return;
+        }
+        stopping = true;
+        group.next().execute(() -> {
+            log.failure(GatewayEvent.STOPPING)
+                    .addKeyValue("connections", front.connections())
+                    .log();
+            front.drain();
+            scheduler.schedule(STOP_ACCEPTING_AFTER, () -> {
+                front.stopAccepting();
+                awaitIdle();
+            });
+        });
+    }
+
+    private void awaitIdle() {
+        if (front.idle()) {
+            log.failure(GatewayEvent.STOPPED).log();
+            scheduler.schedule(STOP_CHECK, stopped::countDown);
+        } else {
+            scheduler.schedule(STOP_CHECK, this::awaitIdle);
+        }
+    }
+
+    /**
+     * Waits until every request has been answered after {@link #stop}.
+     *
+     * @throws InterruptedException if interrupted while waiting
+     */
+    public void awaitStopped() throws InterruptedException {
+        stopped.await();
+    }
+
+    /** Returns the settings in force. */
+    public GatewaySettings settings() {
+        return settings;
+    }
+}
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/BufferedCall.java
@@ -0,0 +1,144 @@
+package io.masticfold.gateway.http;
+
+import io.masticfold.core.time.Cancellable;
+import io.masticfold.core.time.Scheduler;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+
+/** Sends a request, collects the whole answer and gives up after a time-out. */
+public final class BufferedCall implements ExchangeListener {
+
+    /** Most bytes of an answer that is kept in memory. */
+    static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
+
+    private final Consumer<CallResult> receiver;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private Exchange exchange = Exchange.ENDED;
+    private Cancellable timeout = Cancellable.NONE;
+    private @Nullable HttpResponse response;
+    private boolean firstOnConnection;
+    private boolean ended;
+
+    private BufferedCall(Consumer<CallResult> receiver) {
+        this.receiver = receiver;
+    }
+
+    /**
+     * Starts a call.
+     *
+     * @param client sends the request
+     * @param scheduler runs the time-out
+     * @param address address of the server
+     * @param request the request; released by the client
+     * @param choice whether a kept connection may carry it
+     * @param timeout time for the whole call
+     * @param receiver takes the outcome, once, never inside this call
+     * @return cancels the call; the receiver then hears nothing
+     */
+    public static Cancellable start(
+            HttpClient client,
+            Scheduler scheduler,
+            InetSocketAddress address,
+            FullHttpRequest request,
+            ConnectionChoice choice,
+            Duration timeout,
+            Consumer<CallResult> receiver) {
+        BufferedCall call = new BufferedCall(receiver);
+        call.timeout = scheduler.schedule(timeout, () -> call.expire(timeout));
+        call.exchange = client.send(address, request, choice, call);
+        return call::cancel;
+    }
+
+    /**
+     * Creates a request with a JSON body.
+     *
+     * @param body encoded body; empty for none
+     */
+    public static FullHttpRequest request(HttpMethod method, String uri, InetSocketAddress address, byte[] body) {
+        HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
+        headers.set(HttpHeaderNames.HOST, address.getAddress().getHostAddress() + ":" + address.getPort());
+        if (body.length > 0) {
+            headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        }
+        return new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                method,
+                uri,
+                body.length == 0 ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body),
+                headers,
+                DefaultHttpHeadersFactory.trailersFactory().newHeaders());
+    }
+
+    private void cancel() {
+        if (!ended) {
+            ended = true;
+            timeout.cancel();
+            exchange.cancel();
+        }
+    }
+
+    private void expire(Duration after) {
+        if (!ended) {
+            exchange.cancel();
+            finish(new CallResult.Failed(ExchangeFailure.BROKEN, "no answer within " + after.toMillis() + " ms"));
+        }
+    }
+
+    private void finish(CallResult result) {
+        ended = true;
+        timeout.cancel();
+        receiver.accept(result);
+    }
+
+    @Override
+    public void head(HttpResponse head, boolean first) {
+        response = head;
+        firstOnConnection = first;
+    }
+
+    @Override
+    public void content(ByteBuf bytes) {
+        if (ended) {
+            return;
+        }
+        if (body.size() + bytes.readableBytes() > MAX_BODY_BYTES) {
+            exchange.cancel();
+            finish(new CallResult.Failed(ExchangeFailure.BROKEN, "answer is larger than " + MAX_BODY_BYTES + " bytes"));
+            return;
+        }
+        byte[] part = new byte[bytes.readableBytes()];
+        bytes.getBytes(bytes.readerIndex(), part);
+        body.writeBytes(part);
+    }
+
+    @Override
+    public void end() {
+        HttpResponse head = response;
+        if (!ended && head != null) {
+            finish(new CallResult.Answered(
+                    head.status().code(), head.headers(), body.toByteArray(), firstOnConnection));
+        }
+    }
+
+    @Override
+    public void failed(ExchangeFailure failure, String detail) {
+        if (!ended) {
+            finish(new CallResult.Failed(failure, detail));
+        }
+    }
+}
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/FrontConnection.java
@@ -0,0 +1,393 @@
+package io.masticfold.gateway.http;
+
+import io.masticfold.core.forward.RequestLimits;
+import io.masticfold.core.time.TimeSource;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/** Reads the requests of one connection one after the other and writes their answers in order. */
+final class FrontConnection extends ChannelInboundHandlerAdapter {
+
+    /** Most requests that wait behind one that is being answered. */
+    static final int MAX_PIPELINED = 16;
+
+    private final FrontServer server;
+    private final TimeSource time;
+    private final Deque<CallerRequest> waiting = new ArrayDeque<>();
+    private @Nullable ChannelHandlerContext context;
+    private @Nullable HttpRequest head;
+    private @Nullable ByteBuf body;
+    private @Nullable Answer current;
+    private @Nullable Future<?> timer;
+    private long headNanos;
+    private boolean closing;
+    private boolean lastRequestRead;
+
+    FrontConnection(FrontServer server, TimeSource time) {
+        this.server = server;
+        this.time = time;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext active) {
+        context = active;
+        server.opened(this);
+        armIdleTimer();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext _inactive) {
+        server.closed(this);
+        closing = true;
+        cancelTimer();
+        waiting.clear();
+        releaseBody();
+        Answer answer = current;
+        current = null;
+        if (answer != null) {
+            answer.callerLeft();
+        }
+    }
+
+    /** Returns whether no request is being read or answered. */
+    boolean idle() {
+        return current == null && head == null && waiting.isEmpty();
+    }
+
+    /** Closes the connection if it carries no request. */
+    void closeIfIdle() {
+        ChannelHandlerContext open = context;
+        if (idle() && open != null) {
+            open.close();
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext _source, Object message) {
+        try {
+            if (closing) {
+                return;
+            }
+            if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
+                refuseMalformed(object.decoderResult().cause());
+                return;
+            }
+            if (message instanceof HttpRequest request) {
+                begin(request);
+            }
+            if (message instanceof HttpContent content && head != null) {
+                append(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void refuseMalformed(Throwable cause) {
+        boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+        boolean lengths = String.valueOf(cause.getMessage()).contains("Content-Length");
+        refuse(
+                tooLong
+                        ? BadRequestReason.HEADER_TOO_LARGE
+                        : lengths ? BadRequestReason.CONFLICTING_LENGTH : BadRequestReason.MALFORMED);
+    }
+
+    private void begin(HttpRequest request) {
+        cancelTimer();
+        head = request;
+        headNanos = time.nanoTime();
+        body = Unpooled.buffer(0);
+        RequestLimits limits = server.limits();
+        if (request.headers().getAll(HttpHeaderNames.HOST).size() != 1) {
+            refuse(BadRequestReason.MISSING_HOST);
+        } else if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
+            refuse(BadRequestReason.BODY_TOO_LARGE);
+        } else {
+            if (HttpUtil.is100ContinueExpected(request)) {
+                writeContinue();
+            }
+            armTimer(limits.headerTimeout().toNanos(), BadRequestReason.HEADER_TOO_SLOW);
+        }
+    }
+
+    private void writeContinue() {
+        ChannelHandlerContext open = context;
+        if (open != null && current == null) {
+            open.writeAndFlush(new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+        }
+    }
+
+    private void append(HttpContent content) {
+        ByteBuf target = body;
+        HttpRequest request = head;
+        if (target == null || request == null) {
+            return;
+        }
+        if (target.readableBytes() + content.content().readableBytes()
+                > server.limits().maxBodyBytes()) {
+            refuse(BadRequestReason.BODY_TOO_LARGE);
+            return;
+        }
+        target.writeBytes(content.content());
+        if (content instanceof LastHttpContent) {
+            complete(request, target);
+        }
+    }
+
+    private void complete(HttpRequest request, ByteBuf whole) {
+        cancelTimer();
+        byte[] bytes = new byte[whole.readableBytes()];
+        whole.readBytes(bytes);
+        releaseBody();
+        head = null;
+        if (waiting.size() >= MAX_PIPELINED) {
+            refuse(BadRequestReason.TOO_MANY_PIPELINED);
+            return;
+        }
+        waiting.add(new CallerRequest(request.method(), request.uri(), request.headers(), bytes, headNanos));
+        closeAfterRequest(request);
+        startNext();
+    }
+
+    private void closeAfterRequest(HttpRequest request) {
+        if (!HttpUtil.isKeepAlive(request)) {
+            lastRequestRead = true;
+        }
+    }
+
+    private void startNext() {
+        ChannelHandlerContext open = context;
+        if (current != null || open == null) {
+            return;
+        }
+        CallerRequest next = waiting.poll();
+        if (next == null) {
+            if (lastRequestRead || server.draining()) {
+                closing = true;
+                open.close();
+            } else {
+                armIdleTimer();
+            }
+            return;
+        }
+        Answer answer = new Answer(open);
+        current = answer;
+        answer.listener = server.handler().handle(next, answer);
+        answer.listenerReady();
+    }
+
+    private void refuse(BadRequestReason reason) {
+        server.refused(reason);
+        closing = true;
+        cancelTimer();
+        releaseBody();
+        head = null;
+        ChannelHandlerContext open = context;
+        if (open == null) {
+            return;
+        }
+        Answer answer = current;
+        if (answer != null) {
+            // The answer in progress ends first; the connection closes behind it.
+            lastRequestRead = true;
+            waiting.clear();
+            return;
+        }
+        DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(reason.status()),
+                Unpooled.copiedBuffer(reason.code() + "\n", StandardCharsets.US_ASCII));
+        HttpUtil.setContentLength(response, response.content().readableBytes());
+        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        open.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    private void armIdleTimer() {
+        armTimer(server.limits().idleTimeout().toNanos(), null);
+    }
+
+    private void armTimer(long nanos, @Nullable BadRequestReason reason) {
+        cancelTimer();
+        ChannelHandlerContext open = context;
+        if (open != null) {
+            timer = open.executor().schedule(() -> expired(open, reason), nanos, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void expired(ChannelHandlerContext open, @Nullable BadRequestReason reason) {
+        if (reason != null) {
+            refuse(reason);
+        } else if (idle()) {
+            closing = true;
+            open.close();
+        }
+    }
+
+    private void cancelTimer() {
+        Future<?> armed = timer;
+        timer = null;
+        if (armed != null) {
+            armed.cancel(false);
+        }
+    }
+
+    private void releaseBody() {
+        ByteBuf buffer = body;
+        body = null;
+        if (buffer != null) {
+            buffer.release();
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext changed) {
+        Answer answer = current;
+        if (answer != null) {
+            answer.listener.writabilityChanged(changed.channel().isWritable());
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext failed, Throwable _cause) {
+        failed.close();
+    }
+
+    /** Writes one answer and then lets the next request start. */
+    private final class Answer implements CallerAnswer {
+
+        private final ChannelHandlerContext open;
+        private CallerListener listener = CallerListener.NONE;
+        private boolean left;
+        private boolean ended;
+
+        Answer(ChannelHandlerContext open) {
+            this.open = open;
+        }
+
+        void callerLeft() {
+            left = true;
+            if (!ended) {
+                ended = true;
+                listener.left();
+            }
+        }
+
+        /** Tells a listener that was set only after the caller had left. */
+        void listenerReady() {
+            if (left && !ended) {
+                callerLeft();
+            }
+        }
+
+        @Override
+        public void send(int status, HttpHeaders headers, ByteBuf content) {
+            if (ended) {
+                content.release();
+                return;
+            }
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(status),
+                    content,
+                    headers,
+                    DefaultHttpHeadersFactory.trailersFactory().newHeaders());
+            HttpUtil.setContentLength(response, content.readableBytes());
+            connectionHeader(headers);
+            open.writeAndFlush(response);
+            done();
+        }
+
+        @Override
+        public void start(int status, HttpHeaders headers) {
+            if (ended) {
+                return;
+            }
+            headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            connectionHeader(headers);
+            open.writeAndFlush(
+                    new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers));
+        }
+
+        private void connectionHeader(HttpHeaders headers) {
+            boolean last = lastRequestRead && waiting.isEmpty();
+            if (last || server.draining()) {
+                headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+                lastRequestRead = true;
+            }
+        }
+
+        @Override
+        public void write(ByteBuf bytes) {
+            if (ended) {
+                bytes.release();
+                return;
+            }
+            open.writeAndFlush(new DefaultHttpContent(bytes));
+        }
+
+        @Override
+        public void finish() {
+            if (!ended) {
+                open.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+                done();
+            }
+        }
+
+        @Override
+        public void abort() {
+            if (!ended) {
+                ended = true;
+                closing = true;
+                current = null;
+                // A reset cannot be taken for the end of the body.
+                open.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+                open.close();
+            }
+        }
+
+        @Override
+        public boolean writable() {
+            return open.channel().isWritable();
+        }
+
+        private void done() {
+            ended = true;
+            current = null;
+            if (lastRequestRead && waiting.isEmpty()) {
+                closing = true;
+                open.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            } else {
+                // Not inside the handler's call, so that a chain of refusals does not grow the stack.
+                open.executor().execute(FrontConnection.this::startNext);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/FrontServer.java
@@ -0,0 +1,132 @@
+package io.masticfold.gateway.http;
+
+import io.masticfold.core.forward.RequestLimits;
+import io.masticfold.core.time.TimeSource;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+
+/** Accepts connections of callers. Used on its event loop, except for {@link #start}. */
+public final class FrontServer {
+
+    /** Connections that wait to be accepted. */
+    private static final int BACKLOG = 1024;
+
+    private final EventLoopGroup group;
+    private final TimeSource time;
+    private final FrontLimits limits;
+    private final RequestHandler handler;
+    private final Consumer<BadRequestReason> refusals;
+    private final Set<FrontConnection> connections = new LinkedHashSet<>();
+    private @Nullable Channel channel;
+    private boolean draining;
+
+    /**
+     * Creates a server.
+     *
+     * @param group event loop of every connection
+     * @param time time source
+     * @param limits bounds on requests
+     * @param handler serves the requests
+     * @param refusals hears of each request that is refused before it reaches the handler
+     */
+    public FrontServer(
+            EventLoopGroup group,
+            TimeSource time,
+            FrontLimits limits,
+            RequestHandler handler,
+            Consumer<BadRequestReason> refusals) {
+        this.group = group;
+        this.time = time;
+        this.limits = limits;
+        this.handler = handler;
+        this.refusals = refusals;
+    }
+
+    /**
+     * Opens the listening socket.
+     *
+     * @throws InterruptedException if interrupted while binding
+     */
+    public void start(InetSocketAddress address) throws InterruptedException {
+        channel = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel accepted) {
+                        accepted.pipeline()
+                                .addLast(new StrictRequestDecoder(new HttpDecoderConfig()
+                                        .setMaxInitialLineLength(limits().maxHeaderBytes())
+                                        .setMaxHeaderSize(limits().maxHeaderBytes())))
+                                .addLast(new HttpResponseEncoder())
+                                .addLast(new FrontConnection(FrontServer.this, time));
+                    }
+                })
+                .bind(address)
+                .sync()
+                .channel();
+    }
+
+    /** Announces the end of each connection with its next answer. */
+    public void drain() {
+        draining = true;
+    }
+
+    /** Closes the listening socket and the connections that carry no request. */
+    public void stopAccepting() {
+        Channel listening = channel;
+        if (listening != null) {
+            listening.close();
+        }
+        new ArrayList<>(connections).forEach(FrontConnection::closeIfIdle);
+    }
+
+    /** Returns the number of open connections. */
+    public int connections() {
+        return connections.size();
+    }
+
+    /** Returns whether no connection carries a request. */
+    public boolean idle() {
+        return connections.stream().allMatch(FrontConnection::idle);
+    }
+
+    RequestLimits limits() {
+        return limits.current();
+    }
+
+    RequestHandler handler() {
+        return handler;
+    }
+
+    boolean draining() {
+        return draining;
+    }
+
+    void refused(BadRequestReason reason) {
+        refusals.accept(reason);
+    }
+
+    void opened(FrontConnection connection) {
+        connections.add(connection);
+    }
+
+    void closed(FrontConnection connection) {
+        connections.remove(connection);
+    }
+}
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpClient.java
@@ -0,0 +1,167 @@
+package io.masticfold.gateway.http;
+
+import io.masticfold.core.time.TimeSource;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import jdk.net.ExtendedSocketOptions;
+import org.jspecify.annotations.Nullable;
+
+/** Sends requests to servers by address and keeps idle connections. Used on one event loop only. */
+public final class HttpClient {
+
+    /** Time for opening a connection, in milliseconds; a round trip between zones takes a few. */
+    static final int CONNECT_TIMEOUT_MILLIS = 400;
+
+    /** Time after which an idle connection is closed; shorter than the idle time-outs of servers seen so far. */
+    static final Duration IDLE_TIMEOUT = Duration.ofSeconds(3);
+
+    /** Most idle connections kept to one server; its connections are shared by all gateways. */
+    static final int MAX_IDLE_PER_SERVER = 8;
+
+    /** Most bytes of the status line and the headers of a response. */
+    static final int MAX_HEADER_BYTES = 64 * 1024;
+
+    /** Idle seconds before the first keep-alive probe; probes find connections that went silent. */
+    private static final int KEEP_ALIVE_IDLE_SECONDS = 1;
+
+    private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
+    private static final int KEEP_ALIVE_PROBES = 2;
+
+    private final EventLoopGroup group;
+    private final TimeSource time;
+    private final Map<InetSocketAddress, Deque<Idle>> idle = new HashMap<>();
+    private long opened;
+
+    /**
+     * Creates a client.
+     *
+     * @param group event loop of every connection
+     * @param time time source of the idle time-out
+     */
+    public HttpClient(EventLoopGroup group, TimeSource time) {
+        this.group = group;
+        this.time = time;
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param address address of the server
+     * @param request the request; released by the client
+     * @param choice whether a kept connection may carry it
+     * @param listener receives the response, never inside this call
+     */
+    public Exchange send(
+            InetSocketAddress address, FullHttpRequest request, ConnectionChoice choice, ExchangeListener listener) {
+        ServerConnection kept = choice == ConnectionChoice.REUSE ? takeIdle(address) : null;
+        if (kept != null) {
+            kept.exchange(request, listener);
+            return kept;
+        }
+        ServerConnection connection = new ServerConnection(this, address);
+        connection.prepare(request, listener);
+        connect(connection);
+        return connection;
+    }
+
+    /** Returns the number of connections opened so far. */
+    public long opened() {
+        return opened;
+    }
+
+    private void connect(ServerConnection connection) {
+        opened++;
+        ChannelFuture future = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpClientCodec(
+                                        new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES),
+                                        HttpClientCodec.DEFAULT_PARSE_HTTP_AFTER_CONNECT_REQUEST,
+                                        true))
+                                .addLast(connection);
+                    }
+                })
+                .connect(connection.address());
+        future.addListener(done -> {
+            if (!done.isSuccess()) {
+                connection.connectFailed("cannot connect to " + connection.address() + ": " + done.cause());
+            }
+        });
+    }
+
+    void keep(ServerConnection connection) {
+        Deque<Idle> connections = idle.computeIfAbsent(connection.address(), _address -> new ArrayDeque<>());
+        closeExpired(connections);
+        if (connections.size() >= MAX_IDLE_PER_SERVER) {
+            connection.close();
+        } else {
+            connections.addLast(new Idle(connection, time.nanoTime()));
+        }
+    }
+
+    void forget(ServerConnection connection) {
+        Deque<Idle> connections = idle.get(connection.address());
+        if (connections != null) {
+            connections.removeIf(entry -> entry.connection() == connection);
+            if (connections.isEmpty()) {
+                idle.remove(connection.address());
+            }
+        }
+    }
+
+    private @Nullable ServerConnection takeIdle(InetSocketAddress address) {
+        Deque<Idle> connections = idle.get(address);
+        if (connections == null) {
+            return null;
+        }
+        closeExpired(connections);
+        Idle newest = connections.pollLast();
+        return newest == null ? null : newest.connection();
+    }
+
+    /** Closes kept connections that have been idle for too long. */
+    public void closeExpired() {
+        idle.values().forEach(this::closeExpired);
+        idle.values().removeIf(Deque::isEmpty);
+    }
+
+    private void closeExpired(Deque<Idle> connections) {
+        long oldest = time.nanoTime() - IDLE_TIMEOUT.toNanos();
+        for (Iterator<Idle> entries = connections.iterator(); entries.hasNext(); ) {
+            Idle entry = entries.next();
+            if (entry.sinceNanos() - oldest > 0) {
+                return;
+            }
+            entries.remove();
+            entry.connection().close();
+        }
+    }
+
+    private record Idle(ServerConnection connection, long sinceNanos) {}
+}
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
@@ -0,0 +1,206 @@
+package io.masticfold.gateway.http;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
+import org.jspecify.annotations.Nullable;
+
+/** Carries one exchange after the other over a connection to a server. Used on its event loop only. */
+final class ServerConnection extends ChannelInboundHandlerAdapter implements Exchange {
+
+    private final HttpClient owner;
+    private final InetSocketAddress address;
+    private @Nullable Channel channel;
+    private @Nullable ExchangeListener listener;
+    private @Nullable FullHttpRequest unsent;
+    private int exchanges;
+    private boolean headSeen;
+    private boolean closeAfter;
+    private boolean sent;
+    private boolean cancelled;
+
+    ServerConnection(HttpClient owner, InetSocketAddress address) {
+        this.owner = owner;
+        this.address = address;
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    /** Starts the first exchange; it is sent once the connection is open. */
+    void prepare(FullHttpRequest request, ExchangeListener firstListener) {
+        unsent = request;
+        listener = firstListener;
+    }
+
+    /** Starts a further exchange on an open connection. */
+    void exchange(FullHttpRequest request, ExchangeListener nextListener) {
+        listener = nextListener;
+        headSeen = false;
+        closeAfter = false;
+        sent = true;
+        exchanges++;
+        Channel open = channel;
+        if (open == null) {
+            throw new IllegalStateException("connection to " + address + " is not open");
+        }
+        open.writeAndFlush(request);
+    }
+
+    void connectFailed(String detail) {
+        releaseUnsent();
+        fail(ExchangeFailure.NOT_SENT, detail);
+    }
+
+    @Override
+    public void cancel() {
+        cancelled = true;
+        listener = null;
+        releaseUnsent();
+        Channel open = channel;
+        if (open != null) {
+            open.close();
+        }
+    }
+
+    @Override
+    public void readResponse(boolean enabled) {
+        Channel open = channel;
+        if (open != null && listener != null) {
+            open.config().setAutoRead(enabled);
+        }
+    }
+
+    boolean idle() {
+        return listener == null;
+    }
+
+    void close() {
+        Channel open = channel;
+        if (open != null) {
+            open.close();
+        }
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        channel = context.channel();
+        if (cancelled) {
+            context.close();
+            return;
+        }
+        FullHttpRequest first = unsent;
+        ExchangeListener firstListener = listener;
+        unsent = null;
+        if (first != null && firstListener != null) {
+            exchange(first, firstListener);
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            if (listener == null) {
+                // Bytes after the end of a response belong to no request.
+                context.close();
+                return;
+            }
+            if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
+                fail(
+                        ExchangeFailure.BROKEN,
+                        "malformed response: " + object.decoderResult().cause());
+                context.close();
+                return;
+            }
+            read(context, message);
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void read(ChannelHandlerContext context, Object message) {
+        if (message instanceof HttpResponse response) {
+            head(response);
+        }
+        ExchangeListener receiver = listener;
+        if (receiver != null && message instanceof HttpContent content && headSeen) {
+            if (content.content().isReadable()) {
+                receiver.content(content.content());
+            }
+            if (message instanceof LastHttpContent && listener == receiver) {
+                end(context, receiver);
+            }
+        }
+    }
+
+    private void head(HttpResponse response) {
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            return;
+        }
+        headSeen = true;
+        boolean framed = response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                || HttpUtil.isTransferEncodingChunked(response);
+        closeAfter = !HttpUtil.isKeepAlive(response) || !framed;
+        ExchangeListener receiver = listener;
+        if (receiver != null) {
+            receiver.head(response, exchanges == 1);
+        }
+    }
+
+    private void end(ChannelHandlerContext context, ExchangeListener receiver) {
+        listener = null;
+        context.channel().config().setAutoRead(true);
+        if (closeAfter) {
+            context.close();
+        } else {
+            // Bytes that came with the end of the response are seen before the connection is offered again.
+            context.executor().execute(() -> keepIfIdle(context));
+        }
+        receiver.end();
+    }
+
+    private void keepIfIdle(ChannelHandlerContext context) {
+        if (listener == null && context.channel().isActive()) {
+            owner.keep(this);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext _context) {
+        owner.forget(this);
+        fail(sent ? ExchangeFailure.BROKEN : ExchangeFailure.NOT_SENT, "connection closed by the server");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        fail(sent ? ExchangeFailure.BROKEN : ExchangeFailure.NOT_SENT, "connection failed: " + cause);
+        context.close();
+    }
+
+    private void fail(ExchangeFailure failure, String detail) {
+        ExchangeListener receiver = listener;
+        listener = null;
+        if (receiver != null) {
+            receiver.failed(failure, detail);
+        }
+    }
+
+    private void releaseUnsent() {
+        FullHttpRequest request = unsent;
+        unsent = null;
+        if (request != null) {
+            request.release();
+        }
+    }
+}
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/log/DecisionLog.java
@@ -0,0 +1,79 @@
+package io.masticfold.gateway.log;
+
+import io.masticfold.core.telemetry.Telemetry;
+import io.masticfold.core.time.TimeSource;
+import java.time.Duration;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
+import org.slf4j.spi.LoggingEventBuilder;
+import org.slf4j.spi.NOPLoggingEventBuilder;
+
+/**
+ * Writes one structured line for each decision. The number of lines a second is bounded: routine lines stop first, so
+ * that lines about failures are still written when there are many of both. Used by one thread; the appender writes on
+ * another one and drops lines rather than block.
+ */
+public final class DecisionLog {
+
+    /** Routine lines a second. */
+    static final int ROUTINE_LINES_PER_SECOND = 150;
+
+    /** Lines a second about failures and refusals. */
+    static final int FAILURE_LINES_PER_SECOND = 300;
+
+    private static final Logger LOGGER = LoggerFactory.getLogger("io.masticfold.gateway");
+    private static final long SECOND_NANOS = Duration.ofSeconds(1).toNanos();
+
+    private final TimeSource time;
+    private final Telemetry telemetry;
+    private long secondStartNanos;
+    private int routineLines;
+    private int failureLines;
+
+    /**
+     * Creates a log.
+     *
+     * @param telemetry counts the lines that were left out
+     */
+    public DecisionLog(TimeSource time, Telemetry telemetry) {
+        this.time = time;
+        this.telemetry = telemetry;
+        this.secondStartNanos = time.nanoTime();
+    }
+
+    /** Starts a routine line, which is left out when there are many. */
+    public LoggingEventBuilder routine(GatewayEvent event) {
+        startSecond();
+        routineLines++;
+        return routineLines <= ROUTINE_LINES_PER_SECOND ? line(event) : leftOut();
+    }
+
+    /** Starts a line about a failure, a refusal or a change of what the gateway knows. */
+    public LoggingEventBuilder failure(GatewayEvent event) {
+        startSecond();
+        failureLines++;
+        return failureLines <= FAILURE_LINES_PER_SECOND ? line(event) : leftOut();
+    }
+
+    private static LoggingEventBuilder line(GatewayEvent event) {
+        Level level = event.level();
+        return LOGGER.makeLoggingEventBuilder(level)
+                .setMessage(event.template())
+                .addKeyValue("event", "MF" + event.number());
+    }
+
+    private LoggingEventBuilder leftOut() {
+        telemetry.count("log_line_left_out");
+        return NOPLoggingEventBuilder.singleton();
+    }
+
+    private void startSecond() {
+        long now = time.nanoTime();
+        if (now - secondStartNanos >= SECOND_NANOS) {
+            secondStartNanos = now;
+            routineLines = 0;
+            failureLines = 0;
+        }
+    }
+}
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
@@ -0,0 +1,60 @@
+package io.masticfold.gateway.log;
+
+import io.masticfold.core.telemetry.LogEvent;
+import org.slf4j.event.Level;
+
+/** Lists the numbered log events of the gateway, 6000 to 6999. */
+public enum GatewayEvent implements LogEvent {
+    STARTED(6000, Level.INFO, "gateway started"),
+    STOPPING(6001, Level.INFO, "stop requested; readiness is off"),
+    STOPPED(6002, Level.INFO, "gateway stopped"),
+    START_FAILED(6003, Level.ERROR, "gateway did not start"),
+    SETTINGS_RELOADED(6004, Level.INFO, "settings were read again"),
+    SETTINGS_REFUSED(6005, Level.ERROR, "changed settings are not valid; the former ones stay in force"),
+    CONFIGURATION_IN_FORCE(6010, Level.INFO, "a newer configuration is in force"),
+    CONFIGURATION_REFUSED(6011, Level.ERROR, "a configuration cannot be read; the former one stays in force"),
+    STORE_LOST(6012, Level.WARN, "the object store does not answer"),
+    STORE_REGAINED(6013, Level.INFO, "the object store answers again"),
+    TARGET_ADDED(6014, Level.INFO, "a target can be used"),
+    TARGET_CHANGED(6015, Level.INFO, "a target changed its state"),
+    TARGET_REMOVED(6016, Level.INFO, "a target is gone"),
+    ENTRY_IGNORED(6017, Level.WARN, "an entry of the service directory names no usable target"),
+    ZONES_OUT(6018, Level.INFO, "the availability zones that are out have changed"),
+    READY(6019, Level.INFO, "readiness is on"),
+    REQUEST_ANSWERED(6020, Level.INFO, "request was answered"),
+    REQUEST_REFUSED(6021, Level.INFO, "request was refused"),
+    REQUEST_FAILED(6022, Level.INFO, "request failed"),
+    REQUEST_CANCELLED(6023, Level.INFO, "caller left before the answer was complete"),
+    REQUEST_SENT(6024, Level.INFO, "request was sent to a target"),
+    SEND_FAILED(6025, Level.INFO, "a target did not serve the request"),
+    STAGE_CALL_FAILED(6026, Level.INFO, "a stage server did not make pieces"),
+    BAD_REQUEST(6027, Level.INFO, "a request was refused before it was routed"),
+    TARGET_SUSPECT(6028, Level.WARN, "a target failed and is used last for a while"),
+    PEER_CAUGHT_UP(6029, Level.INFO, "newer state was taken over from a peer"),
+    HANDLER_FAILED(6030, Level.ERROR, "a request failed by a fault of the gateway");
+
+    private final int number;
+    private final Level level;
+    private final String template;
+
+    GatewayEvent(int number, Level level, String template) {
+        this.number = number;
+        this.level = level;
+        this.template = template;
+    }
+
+    @Override
+    public int number() {
+        return number;
+    }
+
+    @Override
+    public Level level() {
+        return level;
+    }
+
+    @Override
+    public String template() {
+        return template;
+    }
+}
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/package-info.java
@@ -0,0 +1,5 @@
+/** Forwards requests of callers to the targets of their route. */
+@NullMarked
+package io.masticfold.gateway;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StoreDialect.java
@@ -0,0 +1,69 @@
+package io.masticfold.gateway.protocol;
+
+import io.masticfold.core.error.MasticfoldException;
+import io.masticfold.core.forward.ForwardConfig;
+import io.masticfold.core.target.TargetRecord;
+import java.time.Duration;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+
+/** Encodes calls to the platform's object store and decodes its answers. */
+public interface StoreDialect {
+
+    /**
+     * Returns the path and query of a call that lists objects.
+     *
+     * @param after name of the last object of the page before, or null for the first page
+     */
+    String listUri(StoreKind kind, @Nullable String after);
+
+    /** Returns the path and query of a call that waits for changes after a revision. */
+    String watchUri(StoreKind kind, long revision, Duration wait);
+
+    /** Returns the path of one object. */
+    String objectUri(StoreKind kind, String name);
+
+    /** Returns the path under which objects of a kind are created. */
+    String createUri(StoreKind kind);
+
+    /** Encodes an object that describes this gateway. */
+    byte[] encodeGateway(String name, GatewayAddress gateway);
+
+    /**
+     * Decodes a gateway's object.
+     *
+     * @return empty if the object does not describe a gateway
+     */
+    Optional<GatewayAddress> decodeGateway(StoreObject object);
+
+    /**
+     * Decodes the answer of a list.
+     *
+     * @throws MasticfoldException if the answer is malformed
+     */
+    StorePage decodePage(byte[] body) throws MasticfoldException;
+
+    /**
+     * Decodes the answer of a watch.
+     *
+     * @throws MasticfoldException if the answer is malformed
+     */
+    StorePage decodeChanges(byte[] body) throws MasticfoldException;
+
+    /** Returns the name of the object that holds the configuration in force. */
+    String configurationName();
+
+    /**
+     * Decodes the configuration.
+     *
+     * @throws MasticfoldException if the object is malformed
+     */
+    ForwardConfig decodeConfiguration(StoreObject object) throws MasticfoldException;
+
+    /**
+     * Decodes an entry of the service directory.
+     *
+     * @return empty if the entry is malformed
+     */
+    Optional<TargetRecord> decodeTarget(StoreObject object);
+}
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/HeaderSupport.java
@@ -0,0 +1,48 @@
+package io.masticfold.gateway.request;
+
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.AsciiString;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/** Copies headers that concern more than one connection. */
+final class HeaderSupport {
+
+    private static final Set<String> ONE_CONNECTION = Set.of(
+            HttpHeaderNames.CONNECTION.toString(),
+            "keep-alive",
+            HttpHeaderNames.PROXY_AUTHENTICATE.toString(),
+            HttpHeaderNames.PROXY_AUTHORIZATION.toString(),
+            "proxy-connection",
+            HttpHeaderNames.TE.toString(),
+            HttpHeaderNames.TRAILER.toString(),
+            HttpHeaderNames.TRANSFER_ENCODING.toString(),
+            HttpHeaderNames.CONTENT_LENGTH.toString(),
+            HttpHeaderNames.UPGRADE.toString(),
+            HttpHeaderNames.EXPECT.toString());
+
+    private HeaderSupport() {}
+
+    /** Returns the headers of a message without those of its connection and without some others. */
+    static HttpHeaders endToEnd(HttpHeaders source, List<AsciiString> without) {
+        Set<String> dropped = new HashSet<>(ONE_CONNECTION);
+        without.forEach(name -> dropped.add(name.toString().toLowerCase(Locale.ROOT)));
+        for (String value : source.getAll(HttpHeaderNames.CONNECTION)) {
+            for (String name : value.split(",")) {
+                dropped.add(name.trim().toLowerCase(Locale.ROOT));
+            }
+        }
+        HttpHeaders copy = DefaultHttpHeadersFactory.headersFactory().newHeaders();
+        for (Map.Entry<String, String> header : source) {
+            if (!dropped.contains(header.getKey().toLowerCase(Locale.ROOT))) {
+                copy.add(header.getKey(), header.getValue());
+            }
+        }
+        return copy;
+    }
+}
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -0,0 +1,367 @@
+package io.masticfold.gateway.request;
+
+import io.masticfold.core.error.ErrorKind;
+import io.masticfold.core.error.Ran;
+import io.masticfold.core.forward.ForwardConfig;
+import io.masticfold.core.forward.ForwardRoute;
+import io.masticfold.core.forward.PoolSpec;
+import io.masticfold.core.forward.ResendPolicy;
+import io.masticfold.core.forward.SendOutcome;
+import io.masticfold.core.stream.StreamEvent;
+import io.masticfold.core.time.Cancellable;
+import io.masticfold.core.time.Deadline;
+import io.masticfold.gateway.GatewayContext;
+import io.masticfold.gateway.http.CallerAnswer;
+import io.masticfold.gateway.http.CallerListener;
+import io.masticfold.gateway.http.ConnectionChoice;
+import io.masticfold.gateway.http.Exchange;
+import io.masticfold.gateway.log.GatewayEvent;
+import io.masticfold.gateway.protocol.PieceOutcome;
+import io.masticfold.gateway.stage.StageRun;
+import io.masticfold.gateway.stage.StageRunListener;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/** Takes one routed request through its stages and to a target, and answers the caller. Used by one thread. */
+final class RequestRun implements CallerListener, StageRunListener {
+
+    /** Most times that the stages of a request are run. */
+    private static final int MAX_STAGE_RUNS = 2;
+
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final GatewayContext context;
+    private final RequestServices services;
+    private final RequestPlan plan;
+    private final FinalAnswer answer;
+    private final @Nullable StreamProgress progress;
+    private final Set<String> excluded = new HashSet<>();
+    private final Deadline deadline;
+    private Cancellable timer = Cancellable.NONE;
+    private @Nullable StageRun stageRun;
+    private @Nullable TargetSend send;
+    private List<String> inputs = List.of();
+    private int stageRuns;
+    private int sends;
+    private int runs;
+    private Ran ran = Ran.NO;
+    private boolean ended;
+    private long stagesDoneNanos;
+    private long sentNanos;
+    private long firstEventNanos;
+
+    RequestRun(GatewayContext context, RequestServices services, RequestPlan plan, CallerAnswer callerAnswer) {
+        this.context = context;
+        this.services = services;
+        this.plan = plan;
+        this.answer = new FinalAnswer(context, callerAnswer);
+        this.progress = plan.route().kind().streaming() ? new StreamProgress(callerAnswer) : null;
+        this.deadline = plan.deadline();
+    }
+
+    void start() {
+        timer = context.scheduler().schedule(deadline.remaining(context.scheduler()), this::expire);
+        if (plan.route().stages().isEmpty()) {
+            place();
+        } else {
+            runStages();
+        }
+    }
+
+    private void runStages() {
+        stageRuns++;
+        StageRun next;
+        try {
+            next = new StageRun(
+                    services.stages(),
+                    plan.route().stages(),
+                    plan.metadata().stagePieces(),
+                    plan.metadata().attemptId(),
+                    plan.metadata().stageKey(),
+                    plan.rank(),
+                    plan.request().receivedNanos(),
+                    deadline,
+                    this);
+        } catch (IllegalArgumentException e) {
+            fail(ErrorKind.MALFORMED_REQUEST, String.valueOf(e.getMessage()));
+            return;
+        }
+        stageRun = next;
+        if (!next.start()) {
+            stagesDone(List.of());
+        }
+    }
+
+    @Override
+    public void stagesDone(List<String> handles) {
+        stagesDoneNanos = context.scheduler().nanoTime();
+        inputs = handles;
+        place();
+    }
+
+    @Override
+    public void stagesFailed(PieceOutcome.Kind kind) {
+        if (ended) {
+            return;
+        }
+        if (kind == PieceOutcome.Kind.INPUT_GONE && stageRuns < MAX_STAGE_RUNS) {
+            runStages();
+        } else {
+            fail(
+                    kind == PieceOutcome.Kind.LATE ? ErrorKind.STAGE_TIMEOUT : ErrorKind.OVERLOADED,
+                    "stage piece was not made: " + kind);
+        }
+    }
+
+    private void place() {
+        ForwardConfig config = context.view().config();
+        Optional<PoolSpec> spec = config == null ? Optional.empty() : config.pool(plan.pool());
+        if (spec.isEmpty()) {
+            fail(ErrorKind.NO_TARGET, "pool " + plan.pool() + " is not configured");
+            return;
+        }
+        TargetPool pool = services.targets().pool(plan.pool());
+        Optional<TargetState> choice =
+                pool.choose(spec.get(), plan.prompt(), excluded, context.view().sharingGateways());
+        if (choice.isEmpty()) {
+            fail(ErrorKind.NO_TARGET, "no usable target in pool " + plan.pool());
+            return;
+        }
+        send(pool, choice.get());
+    }
+
+    private void send(TargetPool pool, TargetState target) {
+        if (sends == 0) {
+            pool.budget().earn();
+        }
+        sends++;
+        sentNanos = context.scheduler().nanoTime();
+        TargetSend next = new TargetSend(
+                context,
+                this,
+                target,
+                plan.metadata().attemptId(),
+                plan.prompt().totalTokens(),
+                progress);
+        send = next;
+        boolean kept = plan.route().kind().repeatable();
+        Exchange exchange = context.client()
+                .send(
+                        target.target().address(),
+                        services.requests().build(plan, target.target(), remaining(), inputs, lastEventId()),
+                        kept ? ConnectionChoice.REUSE : ConnectionChoice.FRESH,
+                        next);
+        next.started(exchange);
+        context.log()
+                .routine(GatewayEvent.REQUEST_SENT)
+                .addKeyValue("request", plan.metadata().attemptId())
+                .addKeyValue("target", target.target().id())
+                .addKeyValue("send", sends)
+                .addKeyValue("leftMillis", remaining().toMillis())
+                .log();
+    }
+
+    private long lastEventId() {
+        return progress == null ? StreamEvent.NO_ID : progress.lastId();
+    }
+
+    private Duration remaining() {
+        return deadline.remaining(context.scheduler());
+    }
+
+    /** An event of the stream reached the caller; the target has read every stage result. */
+    void eventPassed() {
+        if (firstEventNanos == 0) {
+            firstEventNanos = context.scheduler().nanoTime();
+            releaseStages();
+        }
+    }
+
+    void targetFailed(TargetState target, boolean nowSuspect) {
+        if (nowSuspect) {
+            context.log()
+                    .failure(GatewayEvent.TARGET_SUSPECT)
+                    .addKeyValue("target", target.target().id())
+                    .addKeyValue("pool", plan.pool())
+                    .log();
+        }
+    }
+
+    void sendEnded(TargetSend endedSend, SendResult result) {
+        if (ended) {
+            return;
+        }
+        send = null;
+        ran = ran.or(result.outcome().ran());
+        if (result.outcome().ran() != Ran.NO) {
+            runs++;
+        }
+        if (result.outcome() == SendOutcome.ANSWERED) {
+            succeed(result);
+            return;
+        }
+        context.log()
+                .failure(GatewayEvent.SEND_FAILED)
+                .addKeyValue("request", plan.metadata().attemptId())
+                .addKeyValue("target", endedSend.target().target().id())
+                .addKeyValue("outcome", result.outcome())
+                .addKeyValue("detail", result.detail())
+                .addKeyValue("events", progress == null ? 0 : progress.events())
+                .log();
+        excluded.add(endedSend.target().target().id());
+        ForwardRoute route = plan.route();
+        boolean again = ResendPolicy.sendAgain(
+                route,
+                result.outcome(),
+                sends,
+                runs,
+                remaining(),
+                services.targets().pool(plan.pool()).budget());
+        if (again) {
+            context.telemetry().retried(kind(result.outcome()));
+            sendAgain(result);
+        } else {
+            giveUp(result);
+        }
+    }
+
+    private void sendAgain(SendResult result) {
+        boolean stagesRead = firstEventNanos != 0 || result.outcome() == SendOutcome.INPUT_GONE;
+        if (stagesRead && stageRun != null) {
+            releaseStages();
+            if (result.outcome() == SendOutcome.INPUT_GONE && stageRuns >= MAX_STAGE_RUNS) {
+                giveUp(result);
+                return;
+            }
+            runStages();
+        } else {
+            place();
+        }
+    }
+
+    private void giveUp(SendResult result) {
+        TargetAnswer targetAnswer = result.answer();
+        if (progress != null && progress.started()) {
+            abort(kind(result.outcome()), result.detail());
+        } else if (targetAnswer != null) {
+            end();
+            answer.pass(targetAnswer);
+            report(GatewayEvent.REQUEST_FAILED, "target_failed", result.detail());
+        } else {
+            fail(kind(result.outcome()), result.detail());
+        }
+    }
+
+    private static ErrorKind kind(SendOutcome outcome) {
+        return switch (outcome) {
+            case NOT_SENT -> ErrorKind.TARGET_UNREACHABLE;
+            case NOT_RUN, INPUT_GONE -> ErrorKind.OVERLOADED;
+            case FAILED -> ErrorKind.TARGET_FAILED;
+            case ANSWERED, UNKNOWN -> ErrorKind.OUTCOME_UNKNOWN;
+        };
+    }
+
+    private void succeed(SendResult result) {
+        end();
+        TargetAnswer targetAnswer = result.answer();
+        if (targetAnswer != null) {
+            answer.pass(targetAnswer);
+        } else {
+            answer.finish();
+        }
+        report(GatewayEvent.REQUEST_ANSWERED, "answered", result.detail());
+    }
+
+    private void expire() {
+        if (ended) {
+            return;
+        }
+        TargetSend active = send;
+        if (active != null) {
+            ran = ran.or(Ran.UNKNOWN);
+            active.cancel();
+        }
+        if (progress != null && progress.started()) {
+            abort(ErrorKind.STAGE_TIMEOUT, "time of the request is over");
+        } else {
+            fail(ran == Ran.NO ? ErrorKind.OVERLOADED : ErrorKind.STAGE_TIMEOUT, "time of the request is over");
+        }
+    }
+
+    private void abort(ErrorKind kind, String detail) {
+        end();
+        answer.abort();
+        context.telemetry().refused(kind);
+        report(GatewayEvent.REQUEST_FAILED, kind.code(), detail);
+    }
+
+    private void fail(ErrorKind kind, String detail) {
+        if (progress != null && progress.started()) {
+            abort(kind, detail);
+            return;
+        }
+        end();
+        answer.refuse(kind, ran, remaining());
+        report(ran == Ran.NO ? GatewayEvent.REQUEST_REFUSED : GatewayEvent.REQUEST_FAILED, kind.code(), detail);
+    }
+
+    private void end() {
+        ended = true;
+        timer.cancel();
+        releaseStages();
+    }
+
+    private void releaseStages() {
+        StageRun run = stageRun;
+        if (run != null) {
+            run.cancel();
+        }
+    }
+
+    private void report(GatewayEvent event, String outcome, String detail) {
+        boolean routine = event == GatewayEvent.REQUEST_ANSWERED;
+        (routine ? context.log().routine(event) : context.log().failure(event))
+                .addKeyValue("request", plan.metadata().attemptId())
+                .addKeyValue("route", plan.route().name())
+                .addKeyValue("outcome", outcome)
+                .addKeyValue("ran", ran.code())
+                .addKeyValue("detail", detail)
+                .addKeyValue("sends", sends)
+                .addKeyValue("events", progress == null ? 0 : progress.events())
+                .addKeyValue("stagesMillis", sinceStart(stagesDoneNanos))
+                .addKeyValue("sentMillis", sinceStart(sentNanos))
+                .addKeyValue("firstEventMillis", sinceStart(firstEventNanos))
+                .addKeyValue("totalMillis", sinceStart(context.scheduler().nanoTime()))
+                .addKeyValue("configVersion", plan.configVersion())
+                .log();
+    }
+
+    private long sinceStart(long nanos) {
+        return nanos == 0 ? -1 : (long) ((nanos - plan.request().receivedNanos()) / NANOS_PER_MILLI);
+    }
+
+    @Override
+    public void left() {
+        if (ended) {
+            return;
+        }
+        TargetSend active = send;
+        end();
+        if (active != null) {
+            active.cancel();
+        }
+        report(GatewayEvent.REQUEST_CANCELLED, "cancelled", "caller closed its connection");
+    }
+
+    @Override
+    public void writabilityChanged(boolean writable) {
+        TargetSend active = send;
+        if (active != null && !ended) {
+            active.readResponse(writable);
+        }
+    }
+}
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetPool.java
@@ -0,0 +1,85 @@
+package io.masticfold.gateway.request;
+
+import io.masticfold.core.forward.PoolSpec;
+import io.masticfold.core.placement.EnginePlacement;
+import io.masticfold.core.placement.LeastLoadedPlacement;
+import io.masticfold.core.placement.PromptKey;
+import io.masticfold.core.placement.TargetLoadView;
+import io.masticfold.core.retry.RetryBudget;
+import io.masticfold.core.target.TargetRecord;
+import io.masticfold.gateway.GatewayContext;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** Chooses the targets of one pool for requests. Used by one thread. */
+final class TargetPool {
+
+    private final GatewayContext context;
+    private final String name;
+    private final RetryBudget budget;
+    private final Map<String, TargetState> states = new HashMap<>();
+
+    TargetPool(GatewayContext context, String name, RetryBudget budget) {
+        this.context = context;
+        this.name = name;
+        this.budget = budget;
+    }
+
+    RetryBudget budget() {
+        return budget;
+    }
+
+    /**
+     * Chooses a target.
+     *
+     * @param spec the pool
+     * @param prompt shared beginning of the request's prompt
+     * @param excluded ids of targets that must not be used
+     * @param gateways gateways that share the bound of a cold target
+     */
+    Optional<TargetState> choose(PoolSpec spec, PromptKey prompt, Set<String> excluded, int gateways) {
+        long now = context.scheduler().nanoTime();
+        List<TargetRecord> usable = context.view().directory().usable(name);
+        List<TargetLoadView> candidates = usable.stream()
+                .filter(target -> !excluded.contains(target.id()))
+                .map(target -> state(target, now))
+                .filter(state -> withinColdBound(spec, state, gateways, now))
+                .map(state -> state.view(
+                        state.target().zone().equals(context.settings().zone()), now))
+                .toList();
+        if (states.size() > usable.size()) {
+            states.values()
+                    .removeIf(state ->
+                            context.view().directory().find(state.target().id()).isEmpty());
+        }
+        Optional<TargetLoadView> choice = spec.engine() == null
+                ? LeastLoadedPlacement.choose(candidates)
+                : EnginePlacement.choose(candidates, prompt);
+        return choice.map(view -> states.get(view.target().id()));
+    }
+
+    private boolean withinColdBound(PoolSpec spec, TargetState state, int gateways, long now) {
+        if (spec.coldPerSecond() <= 0 || !state.cold(now)) {
+            return true;
+        }
+        double bound = spec.coldPerSecond() * context.settings().coldFactor()
+                + context.settings().coldSlack();
+        return state.recentSends(now) + 1 <= bound / gateways;
+    }
+
+    private TargetState state(TargetRecord target, long now) {
+        TargetState known = states.get(target.id());
+        if (known == null || !known.target().sameIncarnation(target)) {
+            TargetState fresh = new TargetState(target, now);
+            states.put(target.id(), fresh);
+            return fresh;
+        }
+        if (known.target() != target) {
+            known.update(target, now);
+        }
+        return known;
+    }
+}
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetPools.java
@@ -0,0 +1,29 @@
+package io.masticfold.gateway.request;
+
+import io.masticfold.core.retry.RetryBudget;
+import io.masticfold.gateway.GatewayContext;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Function;
+
+/** Holds the pools of targets by name. Used by one thread. */
+public final class TargetPools {
+
+    private final GatewayContext context;
+    private final Function<String, RetryBudget> budgets;
+    private final Map<String, TargetPool> pools = new HashMap<>();
+
+    /**
+     * Creates the holder.
+     *
+     * @param budgets retry budget of each pool
+     */
+    public TargetPools(GatewayContext context, Function<String, RetryBudget> budgets) {
+        this.context = context;
+        this.budgets = budgets;
+    }
+
+    TargetPool pool(String name) {
+        return pools.computeIfAbsent(name, key -> new TargetPool(context, key, budgets.apply(key)));
+    }
+}
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetRequests.java
@@ -0,0 +1,72 @@
+package io.masticfold.gateway.request;
+
+import io.masticfold.core.stream.StreamEvent;
+import io.masticfold.core.target.TargetRecord;
+import io.masticfold.gateway.protocol.HeaderNames;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.AsciiString;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Builds the requests that targets are sent from the requests of callers. */
+final class TargetRequests {
+
+    /** Allowance for the way to the target, taken off the time it is given. */
+    private static final Duration WAY = Duration.ofMillis(5);
+
+    /** Highest rank that an engine distinguishes. */
+    private static final int LEAST_URGENT = 9;
+
+    private final HeaderNames names;
+    private final List<AsciiString> dropped;
+
+    TargetRequests(HeaderNames names) {
+        this.names = names;
+        this.dropped = new ArrayList<>(names.forbiddenFromCallers());
+        dropped.add(AsciiString.cached(HttpHeaderNames.AUTHORIZATION.toString()));
+        dropped.add(names.deadlineMillis());
+    }
+
+    /**
+     * Builds the request for a target.
+     *
+     * @param left time that is left for the answer
+     * @param inputs handles of the stage results that the request reads
+     * @param lastEventId last event that the caller has; {@link StreamEvent#NO_ID} to send what the caller sent
+     */
+    FullHttpRequest build(RequestPlan plan, TargetRecord target, Duration left, List<String> inputs, long lastEventId) {
+        HttpHeaders headers = HeaderSupport.endToEnd(plan.request().headers(), dropped);
+        byte[] body = plan.request().body();
+        headers.set(names.deadlineMillis(), Math.max(1, left.minus(WAY).toMillis()));
+        headers.set(names.expectedTarget(), target.id());
+        if (!plan.workspace().isEmpty()) {
+            headers.set(names.workspace(), plan.workspace());
+        }
+        if (plan.route().kind().streaming()) {
+            headers.set(names.priority(), Math.min(LEAST_URGENT, plan.rank()));
+        }
+        if (!inputs.isEmpty()) {
+            headers.set(names.stageInputs(), String.join(",", inputs));
+        }
+        if (lastEventId != StreamEvent.NO_ID) {
+            headers.set(names.lastEventId(), lastEventId);
+        }
+        if (body.length > 0 || plan.request().headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        }
+        return new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                plan.request().method(),
+                plan.request().uri(),
+                Unpooled.wrappedBuffer(body),
+                headers,
+                DefaultHttpHeadersFactory.trailersFactory().newHeaders());
+    }
+}
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetState.java
@@ -0,0 +1,119 @@
+package io.masticfold.gateway.request;
+
+import io.masticfold.core.placement.TargetLoadView;
+import io.masticfold.core.target.TargetRecord;
+import io.masticfold.gateway.protocol.TargetLoadReport;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/** Keeps what this gateway knows of one target from its own requests. Used by one thread. */
+final class TargetState {
+
+    /** Age after which a load that a target stated says nothing any more. */
+    static final Duration REPORT_AGE = Duration.ofMillis(400);
+
+    /** Time for which a target that failed is used last. */
+    static final Duration SUSPECT_TIME = Duration.ofMillis(1500);
+
+    /** Failures in a row after which a target is used last. */
+    static final int SUSPECT_FAILURES = 2;
+
+    private static final long SECOND_NANOS = Duration.ofSeconds(1).toNanos();
+
+    private TargetRecord target;
+    private final Deque<Long> sends = new ArrayDeque<>();
+    private int inFlight;
+    private long queuedTokens;
+    private TargetLoadReport report = new TargetLoadReport(0, 0, 0);
+    private long reportNanos;
+    private boolean reported;
+    private int failures;
+    private long suspectUntilNanos;
+    private boolean suspect;
+    private long coldUntilNanos;
+
+    TargetState(TargetRecord target, long nowNanos) {
+        this.target = target;
+        this.coldUntilNanos = nowNanos;
+        update(target, nowNanos);
+    }
+
+    TargetRecord target() {
+        return target;
+    }
+
+    void update(TargetRecord newer, long nowNanos) {
+        boolean newReport = newer != target;
+        target = newer;
+        if (newReport || newer.coldMillis() > 0) {
+            coldUntilNanos = nowNanos + Duration.ofMillis(newer.coldMillis()).toNanos();
+        }
+    }
+
+    boolean cold(long nowNanos) {
+        return coldUntilNanos - nowNanos > 0;
+    }
+
+    /** Returns the own sends of the last second. */
+    int recentSends(long nowNanos) {
+        while (!sends.isEmpty() && nowNanos - sends.peekFirst() > SECOND_NANOS) {
+            sends.pollFirst();
+        }
+        return sends.size();
+    }
+
+    TargetLoadView view(boolean sameZone, long nowNanos) {
+        boolean fresh = reported && nowNanos - reportNanos < REPORT_AGE.toNanos();
+        return new TargetLoadView(
+                target,
+                inFlight,
+                queuedTokens,
+                fresh ? report.running() : 0,
+                fresh ? report.waiting() : 0,
+                sameZone,
+                suspect(nowNanos));
+    }
+
+    boolean suspect(long nowNanos) {
+        return suspect && suspectUntilNanos - nowNanos > 0;
+    }
+
+    void sent(long tokens, long nowNanos) {
+        sends.addLast(nowNanos);
+        inFlight++;
+        queuedTokens += tokens;
+    }
+
+    /** Notes that a request has produced its first token or will not. */
+    void firstToken(long tokens) {
+        queuedTokens -= tokens;
+    }
+
+    void ended() {
+        inFlight--;
+    }
+
+    void reported(TargetLoadReport newer, long nowNanos) {
+        report = newer;
+        reportNanos = nowNanos;
+        reported = true;
+    }
+
+    void succeeded() {
+        failures = 0;
+        suspect = false;
+    }
+
+    /** Notes a failure; returns whether the target is now used last. */
+    boolean failed(boolean certain, long nowNanos) {
+        failures++;
+        if (certain || failures >= SUSPECT_FAILURES) {
+            boolean before = suspect(nowNanos);
+            suspect = true;
+            suspectUntilNanos = nowNanos + SUSPECT_TIME.toNanos();
+            return !before;
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/package-info.java
@@ -0,0 +1,5 @@
+/** The way of one forwarded request. */
+@NullMarked
+package io.masticfold.gateway.request;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/settings/GatewaySettings.java
@@ -0,0 +1,49 @@
+package io.masticfold.gateway.settings;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+
+/**
+ * Holds the settings of one gateway.
+ *
+ * @param node name of the machine
+ * @param zone availability zone of the machine
+ * @param listen address for callers
+ * @param readiness address of the readiness probe
+ * @param peer address at which other gateways ask for what this one knows
+ * @param store address of the platform's object store
+ * @param metricsPort port of the metrics page; 0 serves none
+ * @param grace time between the request to stop and the kill
+ * @param drain time within which a target that leaves gets no more work
+ * @param retryRatio share of a pool's requests that may be sent again
+ * @param retryExtra sends beyond that share in one window, of all gateways together
+ * @param retryWindow length of that window
+ * @param coldFactor factor on the rate that a cold target bears
+ * @param coldSlack requests a second beyond that rate
+ */
+public record GatewaySettings(
+        String node,
+        String zone,
+        InetSocketAddress listen,
+        InetSocketAddress readiness,
+        InetSocketAddress peer,
+        InetSocketAddress store,
+        int metricsPort,
+        Duration grace,
+        Duration drain,
+        double retryRatio,
+        double retryExtra,
+        Duration retryWindow,
+        double coldFactor,
+        double coldSlack) {
+
+    /** Checks the ranges. */
+    public GatewaySettings {
+        if (node.isEmpty()) {
+            throw new IllegalArgumentException("node must not be empty");
+        }
+        if (retryRatio < 0 || retryExtra < 0) {
+            throw new IllegalArgumentException("retryRatio must not be negative: " + retryRatio + ", " + retryExtra);
+        }
+    }
+}
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/settings/GatewaySettingsReader.java
@@ -0,0 +1,75 @@
+package io.masticfold.gateway.settings;
+
+import io.masticfold.platform.json.FieldReader;
+import io.masticfold.platform.json.JsonDocument;
+import io.masticfold.platform.json.JsonProblemException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Optional;
+
+/** Reads the settings of a gateway from JSON with comments. */
+public final class GatewaySettingsReader {
+
+    private static final int MAX_PORT = 65535;
+    private static final int MAX_MILLIS = 600_000;
+
+    private GatewaySettingsReader() {}
+
+    /**
+     * Reads a settings file.
+     *
+     * @throws JsonProblemException with every fault of the file
+     * @throws IOException if the file cannot be read
+     */
+    public static GatewaySettings read(Path file) throws JsonProblemException, IOException {
+        return read(file.toString(), Files.readString(file));
+    }
+
+    /**
+     * Reads a settings text.
+     *
+     * @param source name of the file, for messages
+     * @throws JsonProblemException with every fault of the text
+     */
+    public static GatewaySettings read(String source, String text) throws JsonProblemException {
+        JsonDocument document = JsonDocument.parse(source, text);
+        Optional<GatewaySettings> settings = fields(document.reader());
+        document.check();
+        return settings.orElseThrow();
+    }
+
+    private static Optional<GatewaySettings> fields(FieldReader fields) {
+        String node = fields.text("node");
+        String zone = fields.text("zone");
+        InetSocketAddress listen = fields.address("listen");
+        InetSocketAddress readiness = fields.address("readiness");
+        InetSocketAddress peer = fields.address("peer");
+        InetSocketAddress store = fields.address("store");
+        int metricsPort = fields.integer("metricsPort", 0, MAX_PORT, 0);
+        int graceMillis = (int) (fields.positive("graceSeconds") * 1000);
+        int drainMillis = fields.integer("drainMillis", 1, MAX_MILLIS);
+        double retryRatio = fields.positive("retryRatio");
+        double retryExtra = fields.positive("retryExtra");
+        int retryWindowMillis = (int) (fields.positive("retryWindowSeconds") * 1000);
+        double coldFactor = fields.positive("coldFactor");
+        double coldSlack = fields.positive("coldSlack");
+        return fields.build(() -> new GatewaySettings(
+                node,
+                zone,
+                listen,
+                readiness,
+                peer,
+                store,
+                metricsPort,
+                Duration.ofMillis(graceMillis),
+                Duration.ofMillis(drainMillis),
+                retryRatio,
+                retryExtra,
+                Duration.ofMillis(retryWindowMillis),
+                coldFactor,
+                coldSlack));
+    }
+}
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/PieceListener.java
@@ -0,0 +1,13 @@
+package io.masticfold.gateway.stage;
+
+import io.masticfold.gateway.protocol.PieceOutcome;
+
+/** Receives the end of one piece of stage work. */
+interface PieceListener {
+
+    /** The result exists at a server. */
+    void made(StageResult result);
+
+    /** The piece was not made and will not be tried again. */
+    void failed(PieceOutcome.Kind kind);
+}
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/KindWatcher.java
@@ -0,0 +1,148 @@
+package io.masticfold.gateway.store;
+
+import io.masticfold.core.error.MasticfoldException;
+import io.masticfold.core.time.Scheduler;
+import io.masticfold.gateway.http.CallResult;
+import io.masticfold.gateway.protocol.StoreDialect;
+import io.masticfold.gateway.protocol.StoreKind;
+import io.masticfold.gateway.protocol.StoreObject;
+import io.masticfold.gateway.protocol.StorePage;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+
+/** Lists the objects of one kind and then watches their changes, for as long as the gateway runs. */
+final class KindWatcher {
+
+    /** Time the store may hold a watch open; short, so that a store that fell silent is noticed soon. */
+    static final Duration WATCH_WAIT = Duration.ofMillis(1500);
+
+    /** Time for the answer beyond the wait. */
+    static final Duration ANSWER_TIMEOUT = Duration.ofMillis(700);
+
+    /** Time for a list. */
+    static final Duration LIST_TIMEOUT = Duration.ofMillis(1500);
+
+    /** Shortest and longest pause after a failed call. */
+    static final Duration SHORTEST_PAUSE = Duration.ofMillis(100);
+
+    static final Duration LONGEST_PAUSE = Duration.ofMillis(400);
+
+    private final ObjectStoreClient store;
+    private final StoreDialect dialect;
+    private final Scheduler scheduler;
+    private final StoreKind kind;
+    private final Duration pause;
+    private final KindListener listener;
+    private List<StoreObject> pages = new ArrayList<>();
+    private Duration failurePause = SHORTEST_PAUSE;
+
+    /**
+     * Creates a watcher.
+     *
+     * @param pause time between two watches; changes in between arrive together with the next one
+     */
+    KindWatcher(
+            ObjectStoreClient store,
+            StoreDialect dialect,
+            Scheduler scheduler,
+            StoreKind kind,
+            Duration pause,
+            KindListener listener) {
+        this.store = store;
+        this.dialect = dialect;
+        this.scheduler = scheduler;
+        this.kind = kind;
+        this.pause = pause;
+        this.listener = listener;
+    }
+
+    void start() {
+        list(null);
+    }
+
+    private void list(@Nullable String after) {
+        if (after == null) {
+            pages = new ArrayList<>();
+        }
+        store.read(dialect.listUri(kind, after), LIST_TIMEOUT, result -> listed(result));
+    }
+
+    private void listed(CallResult result) {
+        decode(
+                result,
+                dialect::decodePage,
+                page -> {
+                    pages.addAll(page.objects());
+                    if (page.more() && !page.objects().isEmpty()) {
+                        list(page.objects().get(page.objects().size() - 1).name());
+                    } else {
+                        listener.listed(List.copyOf(pages), page.revision());
+                        watchLater(page.revision());
+                    }
+                },
+                () -> list(null));
+    }
+
+    private void watchLater(long revision) {
+        scheduler.schedule(pause, () -> watch(revision));
+    }
+
+    private void watch(long revision) {
+        store.read(
+                dialect.watchUri(kind, revision, WATCH_WAIT),
+                WATCH_WAIT.plus(ANSWER_TIMEOUT),
+                result -> watched(result, revision));
+    }
+
+    private void watched(CallResult result, long revision) {
+        if (result instanceof CallResult.Answered answered && answered.status() == HttpResponseStatus.GONE.code()) {
+            listener.answered();
+            list(null);
+            return;
+        }
+        decode(
+                result,
+                dialect::decodeChanges,
+                page -> {
+                    if (!page.objects().isEmpty()) {
+                        listener.changed(page.objects(), page.revision());
+                    }
+                    watchLater(Math.max(revision, page.revision()));
+                },
+                () -> watch(revision));
+    }
+
+    private void decode(CallResult result, Decoder decoder, Consumer<StorePage> next, Runnable again) {
+        String problem;
+        if (result instanceof CallResult.Answered answered) {
+            if (answered.status() == HttpResponseStatus.OK.code()) {
+                try {
+                    StorePage page = decoder.decode(answered.body());
+                    failurePause = SHORTEST_PAUSE;
+                    listener.answered();
+                    next.accept(page);
+                    return;
+                } catch (MasticfoldException e) {
+                    problem = "malformed answer: " + e.getMessage();
+                }
+            } else {
+                problem = "status " + answered.status();
+            }
+        } else {
+            problem = ((CallResult.Failed) result).detail();
+        }
+        listener.failed(kind + ": " + problem);
+        scheduler.schedule(failurePause, again);
+        Duration longer = failurePause.multipliedBy(2);
+        failurePause = longer.compareTo(LONGEST_PAUSE) > 0 ? LONGEST_PAUSE : longer;
+    }
+
+    /** Decodes an answer of the store. */
+    private interface Decoder {
+        StorePage decode(byte[] body) throws MasticfoldException;
+    }
+}
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformView.java
@@ -0,0 +1,54 @@
+package io.masticfold.gateway.store;
+
+import io.masticfold.core.forward.ForwardConfig;
+import io.masticfold.core.target.TargetDirectory;
+import io.masticfold.gateway.protocol.GatewayAddress;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
+import org.jspecify.annotations.Nullable;
+
+/** Holds what the gateway knows of the platform, as immutable snapshots that are replaced as a whole. */
+public final class PlatformView {
+
+    private final AtomicReference<@Nullable ForwardConfig> config = new AtomicReference<>();
+    private static final int LEAST_SHARING = 4;
+
+    private final AtomicReference<List<GatewayAddress>> gateways = new AtomicReference<>(List.of());
+    private final AtomicReference<TargetDirectory> directory = new AtomicReference<>(TargetDirectory.EMPTY);
+
+    /** Returns the configuration in force, or null before one is known. */
+    public @Nullable ForwardConfig config() {
+        return config.get();
+    }
+
+    /** Returns the targets. */
+    public TargetDirectory directory() {
+        return directory.get();
+    }
+
+    /** Puts a configuration in force if it is newer; returns whether it was. */
+    public boolean advance(ForwardConfig next) {
+        ForwardConfig before = config.getAndUpdate(now -> now == null || next.version() > now.version() ? next : now);
+        return before == null || next.version() > before.version();
+    }
+
+    /** Returns the gateways that are known, this one included once it has been listed. */
+    public List<GatewayAddress> gateways() {
+        return gateways.get();
+    }
+
+    /** Replaces the gateways. */
+    public void replaceGateways(List<GatewayAddress> next) {
+        gateways.set(List.copyOf(next));
+    }
+
+    /** Returns the number of gateways that share a bound, at least four so that unlisted ones are allowed for. */
+    public int sharingGateways() {
+        return Math.max(LEAST_SHARING, gateways.get().size());
+    }
+
+    /** Replaces the targets. */
+    public void replace(TargetDirectory next) {
+        directory.set(next);
+    }
+}
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatch.java
@@ -0,0 +1,258 @@
+package io.masticfold.gateway.store;
+
+import io.masticfold.core.error.MasticfoldException;
+import io.masticfold.core.forward.ForwardConfig;
+import io.masticfold.core.target.TargetRecord;
+import io.masticfold.core.target.TargetTable;
+import io.masticfold.core.time.Scheduler;
+import io.masticfold.gateway.log.DecisionLog;
+import io.masticfold.gateway.log.GatewayEvent;
+import io.masticfold.gateway.protocol.GatewayAddress;
+import io.masticfold.gateway.protocol.StoreDialect;
+import io.masticfold.gateway.protocol.StoreKind;
+import io.masticfold.gateway.protocol.StoreObject;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+
+/** Keeps the view of the platform up to date from the object store. Used by one thread. */
+public final class PlatformWatch {
+
+    /** Pause between two watches of the configuration and of the zones, whose changes are few. */
+    private static final Duration SHORT_PAUSE = Duration.ofMillis(20);
+
+    /** Pause between two watches of the targets, which write often; their changes are taken together. */
+    private static final Duration TARGETS_PAUSE = Duration.ofMillis(300);
+
+    /** Pause between two watches of the gateways. */
+    private static final Duration GATEWAYS_PAUSE = Duration.ofMillis(1000);
+
+    /** Time between two looks at entries whose grace ends. */
+    private static final Duration EXPIRY_CHECK = Duration.ofMillis(250);
+
+    private final StoreDialect dialect;
+    private final Scheduler scheduler;
+    private final PlatformView view;
+    private final DecisionLog log;
+    private final TargetTable table;
+    private final Map<String, GatewayAddress> gateways = new HashMap<>();
+    private final Set<String> zonesOut = new TreeSet<>();
+    private final List<KindWatcher> watchers;
+    private boolean storeLost;
+    private boolean targetsListed;
+    private boolean zonesListed;
+
+    /** Creates the watch. */
+    public PlatformWatch(
+            ObjectStoreClient store, StoreDialect dialect, Scheduler scheduler, PlatformView view, DecisionLog log) {
+        this.dialect = dialect;
+        this.scheduler = scheduler;
+        this.view = view;
+        this.log = log;
+        this.table = new TargetTable(scheduler);
+        this.watchers = List.of(
+                new KindWatcher(store, dialect, scheduler, StoreKind.CONFIGURATION, SHORT_PAUSE, new Configurations()),
+                new KindWatcher(store, dialect, scheduler, StoreKind.TARGETS, TARGETS_PAUSE, new Targets()),
+                new KindWatcher(store, dialect, scheduler, StoreKind.ZONES_OUT, SHORT_PAUSE, new Zones()),
+                new KindWatcher(store, dialect, scheduler, StoreKind.GATEWAYS, GATEWAYS_PAUSE, new Gateways()));
+    }
+
+    /** Starts to list and watch. */
+    public void start() {
+        watchers.forEach(KindWatcher::start);
+        scheduler.schedule(EXPIRY_CHECK, this::expire);
+    }
+
+    /** Returns whether configuration, targets and zones have been read at least once. */
+    public boolean complete() {
+        return view.config() != null && targetsListed && zonesListed;
+    }
+
+    private void expire() {
+        if (table.expire()) {
+            publish();
+        }
+        scheduler.schedule(EXPIRY_CHECK, this::expire);
+    }
+
+    private void publish() {
+        view.replace(table.snapshot());
+    }
+
+    private void storeFailed(String detail) {
+        table.directoryFailed();
+        if (!storeLost) {
+            storeLost = true;
+            log.failure(GatewayEvent.STORE_LOST).addKeyValue("detail", detail).log();
+        }
+    }
+
+    private void storeAnswered() {
+        table.directoryAnswered();
+        if (storeLost) {
+            storeLost = false;
+            log.failure(GatewayEvent.STORE_REGAINED).log();
+        }
+    }
+
+    /** Notes the state of the store for every kind. */
+    private abstract class StoreState implements KindListener {
+
+        @Override
+        public void failed(String detail) {
+            storeFailed(detail);
+        }
+
+        @Override
+        public void answered() {
+            storeAnswered();
+        }
+    }
+
+    /** Puts newer configurations in force. */
+    private final class Configurations extends StoreState {
+
+        @Override
+        public void listed(List<StoreObject> objects, long revision) {
+            changed(objects, revision);
+        }
+
+        @Override
+        public void changed(List<StoreObject> objects, long _revision) {
+            objects.stream()
+                    .filter(object -> object.name().equals(dialect.configurationName()) && !object.deleted())
+                    .forEach(this::apply);
+        }
+
+        private void apply(StoreObject object) {
+            try {
+                ForwardConfig config = dialect.decodeConfiguration(object);
+                if (view.advance(config)) {
+                    log.failure(GatewayEvent.CONFIGURATION_IN_FORCE)
+                            .addKeyValue("version", config.version())
+                            .addKeyValue("revision", object.revision())
+                            .log();
+                }
+            } catch (MasticfoldException e) {
+                log.failure(GatewayEvent.CONFIGURATION_REFUSED)
+                        .addKeyValue("revision", object.revision())
+                        .addKeyValue("problem", e.getMessage())
+                        .log();
+            }
+        }
+    }
+
+    /** Keeps the targets. */
+    private final class Targets extends StoreState {
+
+        @Override
+        public void listed(List<StoreObject> objects, long _revision) {
+            table.replaceAll(
+                    objects.stream().map(this::decode).flatMap(Optional::stream).toList());
+            targetsListed = true;
+            publish();
+        }
+
+        @Override
+        public void changed(List<StoreObject> objects, long _revision) {
+            objects.forEach(this::apply);
+            publish();
+        }
+
+        private void apply(StoreObject object) {
+            Optional<TargetRecord> target = object.deleted() ? Optional.empty() : decode(object);
+            if (target.isEmpty()) {
+                if (view.directory().find(object.name()).isPresent()) {
+                    log.failure(GatewayEvent.TARGET_REMOVED)
+                            .addKeyValue("target", object.name())
+                            .addKeyValue("revision", object.revision())
+                            .log();
+                }
+                table.remove(object.name());
+                return;
+            }
+            table.put(target.get());
+            logChange(target.get(), object.revision());
+        }
+
+        private void logChange(TargetRecord target, long revision) {
+            Optional<TargetRecord> known = view.directory().find(target.id());
+            boolean added = known.isEmpty() || !known.get().sameIncarnation(target);
+            if (added || known.get().leaving() != target.leaving()) {
+                log.failure(added ? GatewayEvent.TARGET_ADDED : GatewayEvent.TARGET_CHANGED)
+                        .addKeyValue("target", target.id())
+                        .addKeyValue("pool", target.pool())
+                        .addKeyValue("leaving", target.leaving())
+                        .addKeyValue("coldMillis", target.coldMillis())
+                        .addKeyValue("revision", revision)
+                        .log();
+            }
+        }
+
+        private Optional<TargetRecord> decode(StoreObject object) {
+            Optional<TargetRecord> target = dialect.decodeTarget(object);
+            if (target.isEmpty()) {
+                log.failure(GatewayEvent.ENTRY_IGNORED)
+                        .addKeyValue("entry", object.name())
+                        .addKeyValue("revision", object.revision())
+                        .log();
+            }
+            return target;
+        }
+    }
+
+    /** Keeps the availability zones that are out. */
+    private final class Zones extends StoreState {
+
+        @Override
+        public void listed(List<StoreObject> objects, long revision) {
+            zonesOut.clear();
+            zonesListed = true;
+            changed(objects, revision);
+        }
+
+        @Override
+        public void changed(List<StoreObject> objects, long revision) {
+            for (StoreObject object : objects) {
+                if (object.deleted()) {
+                    zonesOut.remove(object.name());
+                } else {
+                    zonesOut.add(object.name());
+                }
+            }
+            table.zonesOut(zonesOut);
+            publish();
+            log.failure(GatewayEvent.ZONES_OUT)
+                    .addKeyValue("zones", String.join(",", zonesOut))
+                    .addKeyValue("revision", revision)
+                    .log();
+        }
+    }
+
+    /** Keeps the other gateways. */
+    private final class Gateways extends StoreState {
+
+        @Override
+        public void listed(List<StoreObject> objects, long revision) {
+            gateways.clear();
+            changed(objects, revision);
+        }
+
+        @Override
+        public void changed(List<StoreObject> objects, long _revision) {
+            for (StoreObject object : objects) {
+                Optional<GatewayAddress> gateway = object.deleted() ? Optional.empty() : dialect.decodeGateway(object);
+                if (gateway.isPresent()) {
+                    gateways.put(object.name(), gateway.get());
+                } else {
+                    gateways.remove(object.name());
+                }
+            }
+            view.replaceGateways(List.copyOf(gateways.values()));
+        }
+    }
+}
