Keep one queue a stage server, owned by one gateway, and place results where they are read

Results of one request lay in several zones.

Ruled out: engines (first event 210 ms after the send at every load); refusals by the engines (1 of 1,212).

Change: gateways connect to each other; a stage server's queue is kept by its rendezvous owner, which counts room exactly and batches the pieces of all; on-time pieces first, by measured stage times; stages start as late as the longest chain allows; results that were read are kept only until room is short; stage servers and engines are chosen near the results, or the reverse for long prompts.

--- a/masticfold-core/src/main/java/io/masticfold/core/placement/EnginePlacement.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/placement/EnginePlacement.java
@@ -1,7 +1,10 @@
 package io.masticfold.core.placement;
 
 import io.masticfold.core.routing.RendezvousSupport;
+import io.masticfold.core.target.TargetRecord;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -24,10 +27,28 @@
     /** Cost of another availability zone, in prompt tokens; decides only between equals. */
     static final long TOKENS_OTHER_ZONE = 50;
 
-    private EnginePlacement() {}
+    /** Cost of a megabyte of stage results that is read from another availability zone, in prompt tokens. */
+    static final long TOKENS_PER_MEGABYTE = 380;
+
+    private static final double BYTES_PER_MEGABYTE = 1e6;
+
+    /**
+     * Returns whether a request should run where its prompt is kept rather than where its stage results are.
+     *
+     * @param resultBytes size of the results that the request reads, in bytes
+     */
+    public static boolean followsPrompt(PromptKey prompt, long resultBytes) {
+        return prompt.sharedTokens() > resultBytes / BYTES_PER_MEGABYTE * TOKENS_PER_MEGABYTE;
+    }
 
-    /** Chooses an engine; empty if there is none. */
-    public static Optional<TargetLoadView> choose(List<TargetLoadView> engines, PromptKey prompt) {
+    /**
+     * Chooses an engine; empty if there is none.
+     *
+     * @param resultBytes size of the stage results that the request reads, in bytes, by availability zone
+     */
+    public static Optional<TargetLoadView> choose(
+            List<TargetLoadView> engines, PromptKey prompt, Map<String, Long> resultBytes) {
+        long allBytes = resultBytes.values().stream().mapToLong(Long::longValue).sum();
         TargetLoadView preferred = null;
         long highest = Long.MIN_VALUE;
         for (TargetLoadView engine : engines) {
@@ -41,7 +62,10 @@
         TargetLoadView best = null;
         long lowest = Long.MAX_VALUE;
         for (TargetLoadView engine : engines) {
-            long cost = cost(engine, prompt, engine == preferred);
+            long movedBytes =
+                    allBytes - resultBytes.getOrDefault(engine.target().zone(), 0L);
+            long cost = cost(engine, prompt, engine == preferred)
+                    + (long) (movedBytes / BYTES_PER_MEGABYTE * TOKENS_PER_MEGABYTE);
             if (best == null || cost < lowest) {
                 best = engine;
                 lowest = cost;
@@ -50,6 +74,14 @@
         return Optional.ofNullable(best);
     }
 
+    private EnginePlacement() {}
+
+    /** Returns the engine that keeps the shared beginning of a prompt, whatever its load; empty if there is none. */
+    public static Optional<TargetRecord> preferred(List<TargetRecord> engines, PromptKey prompt) {
+        return engines.stream()
+                .max(Comparator.comparingLong(engine -> RendezvousSupport.weight(prompt.hash(), engine.id())));
+    }
+
     /** Returns the prompt tokens read before the first token of a request appears, with its penalties. */
     static long cost(TargetLoadView engine, PromptKey prompt, boolean keepsSharedParts) {
         int running = Math.max(engine.inFlight(), engine.reportedRunning());
--- a/masticfold-core/src/main/java/io/masticfold/core/stage/StageGraph.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/stage/StageGraph.java
@@ -3,6 +3,7 @@
 import io.masticfold.core.forward.StageSpec;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.IntPredicate;
 import org.jspecify.annotations.Nullable;
 
 /** Tracks which results of one request's stages exist. Used by one thread. */
@@ -10,8 +11,10 @@
 
     private final List<StageSpec> stages;
     private final List<@Nullable String[]> results = new ArrayList<>();
+    private final List<boolean[]> inputsRead = new ArrayList<>();
     private final int[] missing;
     private final boolean[] started;
+    private final int[] levels;
 
     /**
      * Creates the graph of a request.
@@ -30,14 +33,42 @@
         for (int stage = 0; stage < stages.size(); stage++) {
             missing[stage] = pieces.get(stage);
             results.add(new String[pieces.get(stage)]);
+            inputsRead.add(new boolean[pieces.get(stage)]);
         }
+        this.levels = new int[stages.size()];
+        for (int stage = 0; stage < stages.size(); stage++) {
+            levels[stage] = level(stage, stages.size());
+        }
+    }
+
+    private int level(int stage, int bound) {
+        if (bound == 0) {
+            throw new IllegalArgumentException("the stages form a cycle");
+        }
+        int longest = 0;
+        for (int next = 0; next < stages.size(); next++) {
+            if (stages.get(next).after().contains(stage)) {
+                longest = Math.max(longest, level(next, bound - 1));
+            }
+        }
+        return longest + 1;
     }
 
-    /** Returns the stages whose inputs exist and that were not returned before. */
+    /**
+     * Returns the stages that are due and were not returned before. A stage is due once its inputs exist and no chain
+     * that is longer than the one it begins is still to be made: a result that is made earlier would only take room
+     * while it waits for the others.
+     */
     public List<Integer> startable() {
         List<Integer> ready = new ArrayList<>();
+        int longest = 0;
         for (int stage = 0; stage < stages.size(); stage++) {
-            if (!started[stage] && inputsComplete(stage)) {
+            if (!complete(stage)) {
+                longest = Math.max(longest, levels[stage]);
+            }
+        }
+        for (int stage = 0; stage < stages.size(); stage++) {
+            if (!started[stage] && levels[stage] >= longest && inputsComplete(stage)) {
                 started[stage] = true;
                 ready.add(stage);
             }
@@ -68,6 +99,11 @@
         return true;
     }
 
+    /** Returns the length of the longest chain of stages from a stage to the end, the stage included. */
+    public int level(int stage) {
+        return levels[stage];
+    }
+
     /** Returns whether every result of a stage exists. */
     public boolean complete(int stage) {
         return missing[stage] == 0;
@@ -94,19 +130,48 @@
         return handles;
     }
 
-    /** Returns the stages whose results are read only by stages that are complete, so that they can be released. */
-    public boolean consumed(int stage) {
-        if (last(stage)) {
+    /** Records that a piece has read its inputs; returns whether it is the last of its stage to do so. */
+    public boolean inputsRead(int stage, int piece) {
+        boolean[] read = inputsRead.get(stage);
+        if (read[piece]) {
             return false;
         }
-        for (int next = 0; next < stages.size(); next++) {
-            if (stages.get(next).after().contains(stage) && !complete(next)) {
+        read[piece] = true;
+        return readByAll(stage);
+    }
+
+    private boolean readByAll(int stage) {
+        for (boolean read : inputsRead.get(stage)) {
+            if (!read) {
                 return false;
             }
         }
         return true;
     }
 
+    /** Returns whether every stage that reads the results of a stage is made, so that they can be released. */
+    public boolean consumed(int stage) {
+        return allFollowers(stage, this::complete);
+    }
+
+    /** Returns whether every stage that reads the results of a stage has read them. */
+    public boolean readByFollowers(int stage) {
+        return allFollowers(stage, next -> complete(next) || readByAll(next));
+    }
+
+    private boolean allFollowers(int stage, IntPredicate condition) {
+        boolean followed = false;
+        for (int next = 0; next < stages.size(); next++) {
+            if (stages.get(next).after().contains(stage)) {
+                followed = true;
+                if (!condition.test(next)) {
+                    return false;
+                }
+            }
+        }
+        return followed;
+    }
+
     /** Returns the handles of a stage that exist. */
     public List<String> handles(int stage) {
         List<String> handles = new ArrayList<>();
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -7,12 +7,14 @@
 import io.masticfold.core.telemetry.Telemetry;
 import io.masticfold.core.time.Scheduler;
 import io.masticfold.core.time.TimeSource;
+import io.masticfold.gateway.context.GatewayContext;
 import io.masticfold.gateway.http.CallResult;
 import io.masticfold.gateway.http.EventLoopScheduler;
 import io.masticfold.gateway.http.FrontServer;
 import io.masticfold.gateway.http.HttpClient;
 import io.masticfold.gateway.log.DecisionLog;
 import io.masticfold.gateway.log.GatewayEvent;
+import io.masticfold.gateway.peer.PeerLinks;
 import io.masticfold.gateway.protocol.GatewayAddress;
 import io.masticfold.gateway.protocol.PlatformProtocol;
 import io.masticfold.gateway.protocol.StoreKind;
@@ -61,6 +63,8 @@
     private final DecisionLog log;
     private final ObjectStoreClient store;
     private final PlatformWatch watch;
+    private final StagePools stages;
+    private final PeerLinks peers;
     private final FrontServer front;
     private final FrontServer readiness;
     private volatile boolean stopping;
@@ -82,10 +86,9 @@
         this.store = new ObjectStoreClient(client, scheduler, settings.store());
         this.watch = new PlatformWatch(store, protocol.store(), scheduler, view, log);
         GatewayContext context = new GatewayContext(settings, protocol, client, scheduler, view, log, telemetry);
-        ForwardHandler handler = new ForwardHandler(
-                context,
-                new StagePools(context, _name -> retryBudget()),
-                new TargetPools(context, _name -> retryBudget()));
+        this.stages = new StagePools(context, _name -> retryBudget());
+        this.peers = new PeerLinks(group, scheduler, settings.node(), view::gateways, new PeerDispatcher(stages));
+        ForwardHandler handler = new ForwardHandler(context, stages, new TargetPools(context, _name -> retryBudget()));
         this.front = new FrontServer(group, time, this::limits, handler, reason -> {
             telemetry.count("bad_request_" + reason.code());
             log.failure(GatewayEvent.BAD_REQUEST)
@@ -120,9 +123,11 @@
     public void start() throws InterruptedException {
         readiness.start(settings.readiness());
         front.start(settings.listen());
+        peers.start(settings.peer());
         EventLoop loop = group.next();
         loop.execute(() -> {
             watch.start();
+            stages.start(peers);
             register();
             closeIdle();
             log.failure(GatewayEvent.STARTED)
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayContext.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/context/GatewayContext.java
@@ -1,4 +1,4 @@
-package io.masticfold.gateway;
+package io.masticfold.gateway.context;
 
 import io.masticfold.core.telemetry.Telemetry;
 import io.masticfold.core.time.Scheduler;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
@@ -31,7 +31,9 @@
     BAD_REQUEST(6027, Level.INFO, "a request was refused before it was routed"),
     TARGET_SUSPECT(6028, Level.WARN, "a target failed and is used last for a while"),
     PEER_CAUGHT_UP(6029, Level.INFO, "newer state was taken over from a peer"),
-    HANDLER_FAILED(6030, Level.ERROR, "a request failed by a fault of the gateway");
+    HANDLER_FAILED(6030, Level.ERROR, "a request failed by a fault of the gateway"),
+    STAGE_CALLED(6031, Level.INFO, "a stage server made pieces"),
+    STAGE_PIECE_FAILED(6032, Level.INFO, "a piece of stage work was not made");
 
     private final int number;
     private final Level level;
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/PeerLinks.java
@@ -0,0 +1,191 @@
+package io.masticfold.gateway.peer;
+
+import io.masticfold.core.time.Scheduler;
+import io.masticfold.gateway.peer.proto.PeerFrame;
+import io.masticfold.gateway.protocol.GatewayAddress;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Connects this gateway with its peers. Each gateway opens a connection to every other one and asks on it; it answers
+ * on the connections that others have opened. A peer counts as reachable while frames arrive from it. Used by one
+ * thread.
+ */
+public final class PeerLinks {
+
+    /** Time between two statuses; a status is also the heartbeat of a connection. */
+    public static final Duration STATUS_INTERVAL = Duration.ofMillis(100);
+
+    /** Silence after which a connection is given up; several statuses. */
+    static final Duration SILENCE = Duration.ofMillis(600);
+
+    /** Shortest and longest pause before a connection is tried again. */
+    static final Duration SHORTEST_PAUSE = Duration.ofMillis(200);
+
+    static final Duration LONGEST_PAUSE = Duration.ofSeconds(2);
+
+    private final EventLoopGroup group;
+    private final Scheduler scheduler;
+    private final String node;
+    private final Supplier<List<GatewayAddress>> gateways;
+    private final PeerListener listener;
+    private final Map<String, PeerLink> links = new HashMap<>();
+    private final Set<Accepted> callers = new LinkedHashSet<>();
+
+    /**
+     * Creates the connections.
+     *
+     * @param node name of this gateway
+     * @param gateways all known gateways
+     * @param listener receives the frames
+     */
+    public PeerLinks(
+            EventLoopGroup group,
+            Scheduler scheduler,
+            String node,
+            Supplier<List<GatewayAddress>> gateways,
+            PeerListener listener) {
+        this.group = group;
+        this.scheduler = scheduler;
+        this.node = node;
+        this.gateways = gateways;
+        this.listener = listener;
+    }
+
+    /**
+     * Opens the listening socket and starts to connect.
+     *
+     * @throws InterruptedException if interrupted while binding
+     */
+    public void start(InetSocketAddress address) throws InterruptedException {
+        new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new PeerPipeline(Accepted::new))
+                .bind(address)
+                .sync();
+        scheduler.schedule(Duration.ZERO, this::maintain);
+    }
+
+    private void maintain() {
+        long now = nowNanos();
+        for (GatewayAddress gateway : gateways.get()) {
+            if (!gateway.name().equals(node)) {
+                PeerLink known = links.get(gateway.name());
+                if (known == null || !known.address().equals(gateway.peerAddress())) {
+                    if (known != null) {
+                        known.close();
+                    }
+                    links.put(gateway.name(), new PeerLink(gateway.name(), gateway.peerAddress(), this, now));
+                }
+            }
+        }
+        for (PeerLink link : new ArrayList<>(links.values())) {
+            if (link.silent(now, SILENCE.toNanos())) {
+                link.close();
+            }
+            if (link.due(now)) {
+                link.connect(group, now);
+            }
+        }
+        scheduler.schedule(STATUS_INTERVAL, this::maintain);
+    }
+
+    /** Returns the names of the peers that can be reached. */
+    public List<String> reachable() {
+        return links.values().stream().filter(PeerLink::up).map(PeerLink::peer).toList();
+    }
+
+    /** Returns whether a peer can be reached. */
+    public boolean reachable(String peer) {
+        PeerLink link = links.get(peer);
+        return link != null && link.up();
+    }
+
+    /** Sends a frame to a peer; has no effect while it cannot be reached. */
+    public void send(String peer, PeerFrame frame) {
+        PeerLink link = links.get(peer);
+        if (link != null) {
+            link.send(frame);
+        }
+    }
+
+    /** Sends a frame to every peer that has opened a connection. */
+    public void broadcast(PeerFrame frame) {
+        callers.forEach(caller -> caller.send(frame));
+    }
+
+    static Duration reconnectPause(int failures) {
+        Duration pause = SHORTEST_PAUSE.multipliedBy(1L << Math.min(failures, 4));
+        return pause.compareTo(LONGEST_PAUSE) > 0 ? LONGEST_PAUSE : pause;
+    }
+
+    String node() {
+        return node;
+    }
+
+    PeerListener listener() {
+        return listener;
+    }
+
+    long nowNanos() {
+        return scheduler.nanoTime();
+    }
+
+    void down(String peer) {
+        listener.lost(peer);
+    }
+
+    /** Receives the frames of a connection that a peer has opened. */
+    private final class Accepted extends SimpleChannelInboundHandler<PeerFrame> implements PeerCaller {
+
+        private @Nullable Channel channel;
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            channel = context.channel();
+            callers.add(this);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext _context, PeerFrame frame) {
+            listener.asked(this, frame);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext _context) {
+            callers.remove(this);
+            listener.callerGone(this);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable _cause) {
+            context.close();
+        }
+
+        @Override
+        public void send(PeerFrame frame) {
+            Channel open = channel;
+            if (open != null && open.isActive()) {
+                open.writeAndFlush(frame);
+            }
+        }
+    }
+}
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/PieceOutcome.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/PieceOutcome.java
@@ -18,7 +18,9 @@
         INPUT_GONE,
         /** The server had no room for the result. */
         NO_ROOM,
-        /** The server failed. */
-        FAILED
+        /** The server failed to make this piece. */
+        FAILED,
+        /** The server did not serve the whole call, or is not used any more. */
+        GIVEN_BACK
     }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/FinalAnswer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/FinalAnswer.java
@@ -2,7 +2,7 @@
 
 import io.masticfold.core.error.ErrorKind;
 import io.masticfold.core.error.Ran;
-import io.masticfold.gateway.GatewayContext;
+import io.masticfold.gateway.context.GatewayContext;
 import io.masticfold.gateway.http.CallerAnswer;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
@@ -8,7 +8,7 @@
 import io.masticfold.core.placement.PromptKey;
 import io.masticfold.core.routing.RendezvousSupport;
 import io.masticfold.core.time.Deadline;
-import io.masticfold.gateway.GatewayContext;
+import io.masticfold.gateway.context.GatewayContext;
 import io.masticfold.gateway.http.CallerAnswer;
 import io.masticfold.gateway.http.CallerListener;
 import io.masticfold.gateway.http.CallerRequest;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -7,10 +7,11 @@
 import io.masticfold.core.forward.PoolSpec;
 import io.masticfold.core.forward.ResendPolicy;
 import io.masticfold.core.forward.SendOutcome;
+import io.masticfold.core.placement.EnginePlacement;
 import io.masticfold.core.stream.StreamEvent;
 import io.masticfold.core.time.Cancellable;
 import io.masticfold.core.time.Deadline;
-import io.masticfold.gateway.GatewayContext;
+import io.masticfold.gateway.context.GatewayContext;
 import io.masticfold.gateway.http.CallerAnswer;
 import io.masticfold.gateway.http.CallerListener;
 import io.masticfold.gateway.http.ConnectionChoice;
@@ -22,6 +23,7 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -32,6 +34,12 @@
     /** Most times that the stages of a request are run. */
     private static final int MAX_STAGE_RUNS = 2;
 
+    /** Usual time from the send to an engine to its first token, for the time at which stage results are due. */
+    private static final Duration ENGINE_TIME = Duration.ofMillis(250);
+
+    /** Time after a send by which an engine without a queue has read the stage results. */
+    private static final Duration INPUT_READ_TIME = Duration.ofMillis(100);
+
     private static final double NANOS_PER_MILLI = 1e6;
 
     private final GatewayContext context;
@@ -84,7 +92,10 @@
                     plan.metadata().stageKey(),
                     plan.rank(),
                     plan.request().receivedNanos(),
+                    plan.request().receivedNanos()
+                            + plan.route().aim().minus(ENGINE_TIME).toNanos(),
                     deadline,
+                    readerZone(),
                     this);
         } catch (IllegalArgumentException e) {
             fail(ErrorKind.MALFORMED_REQUEST, String.valueOf(e.getMessage()));
@@ -96,6 +107,19 @@
         }
     }
 
+    private @Nullable String readerZone() {
+        long resultBytes = 0;
+        for (int stage = 0; stage < plan.route().stages().size(); stage++) {
+            if (stage < plan.metadata().stagePieces().size()) {
+                resultBytes += plan.route().stages().get(stage).resultBytes()
+                        * plan.metadata().stagePieces().get(stage);
+            }
+        }
+        return EnginePlacement.followsPrompt(plan.prompt(), resultBytes)
+                ? services.targets().pool(plan.pool()).preferredZone(plan.prompt())
+                : null;
+    }
+
     @Override
     public void stagesDone(List<String> handles) {
         stagesDoneNanos = context.scheduler().nanoTime();
@@ -125,8 +149,12 @@
             return;
         }
         TargetPool pool = services.targets().pool(plan.pool());
-        Optional<TargetState> choice =
-                pool.choose(spec.get(), plan.prompt(), excluded, context.view().sharingGateways());
+        Optional<TargetState> choice = pool.choose(
+                spec.get(),
+                plan.prompt(),
+                stageRun == null ? Map.of() : stageRun.finalBytesByZone(),
+                excluded,
+                context.view().sharingGateways());
         if (choice.isEmpty()) {
             fail(ErrorKind.NO_TARGET, "no usable target in pool " + plan.pool());
             return;
@@ -156,6 +184,9 @@
                         kept ? ConnectionChoice.REUSE : ConnectionChoice.FRESH,
                         next);
         next.started(exchange);
+        if (stageRun != null) {
+            context.scheduler().schedule(INPUT_READ_TIME, () -> inputsRead(next));
+        }
         context.log()
                 .routine(GatewayEvent.REQUEST_SENT)
                 .addKeyValue("request", plan.metadata().attemptId())
@@ -165,6 +196,13 @@
                 .log();
     }
 
+    private void inputsRead(TargetSend current) {
+        StageRun run = stageRun;
+        if (!ended && send == current && run != null) {
+            run.resultsRead();
+        }
+    }
+
     private long lastEventId() {
         return progress == null ? StreamEvent.NO_ID : progress.lastId();
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetPool.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetPool.java
@@ -7,12 +7,13 @@
 import io.masticfold.core.placement.TargetLoadView;
 import io.masticfold.core.retry.RetryBudget;
 import io.masticfold.core.target.TargetRecord;
-import io.masticfold.gateway.GatewayContext;
+import io.masticfold.gateway.context.GatewayContext;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 
 /** Chooses the targets of one pool for requests. Used by one thread. */
 final class TargetPool {
@@ -37,10 +38,12 @@
      *
      * @param spec the pool
      * @param prompt shared beginning of the request's prompt
+     * @param resultBytes size of the stage results that the request reads, in bytes, by availability zone
      * @param excluded ids of targets that must not be used
      * @param gateways gateways that share the bound of a cold target
      */
-    Optional<TargetState> choose(PoolSpec spec, PromptKey prompt, Set<String> excluded, int gateways) {
+    Optional<TargetState> choose(
+            PoolSpec spec, PromptKey prompt, Map<String, Long> resultBytes, Set<String> excluded, int gateways) {
         long now = context.scheduler().nanoTime();
         List<TargetRecord> usable = context.view().directory().usable(name);
         List<TargetLoadView> candidates = usable.stream()
@@ -57,10 +60,18 @@
         }
         Optional<TargetLoadView> choice = spec.engine() == null
                 ? LeastLoadedPlacement.choose(candidates)
-                : EnginePlacement.choose(candidates, prompt);
+                : EnginePlacement.choose(candidates, prompt, resultBytes);
         return choice.map(view -> states.get(view.target().id()));
     }
 
+    /** Returns the availability zone of the target that keeps the prompt's shared beginning; null if unknown. */
+    @Nullable
+    String preferredZone(PromptKey prompt) {
+        return EnginePlacement.preferred(context.view().directory().usable(name), prompt)
+                .map(TargetRecord::zone)
+                .orElse(null);
+    }
+
     private boolean withinColdBound(PoolSpec spec, TargetState state, int gateways, long now) {
         if (spec.coldPerSecond() <= 0 || !state.cold(now)) {
             return true;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetPools.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetPools.java
@@ -1,7 +1,7 @@
 package io.masticfold.gateway.request;
 
 import io.masticfold.core.retry.RetryBudget;
-import io.masticfold.gateway.GatewayContext;
+import io.masticfold.gateway.context.GatewayContext;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Function;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetSend.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetSend.java
@@ -3,7 +3,7 @@
 import io.masticfold.core.forward.SendOutcome;
 import io.masticfold.core.stream.EventSplitter;
 import io.masticfold.core.stream.StreamEvent;
-import io.masticfold.gateway.GatewayContext;
+import io.masticfold.gateway.context.GatewayContext;
 import io.masticfold.gateway.http.Exchange;
 import io.masticfold.gateway.http.ExchangeFailure;
 import io.masticfold.gateway.http.ExchangeListener;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/PendingPiece.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/PendingPiece.java
@@ -1,56 +1,38 @@
 package io.masticfold.gateway.stage;
 
 import io.masticfold.core.time.Deadline;
-import java.util.Comparator;
 import java.util.List;
 
-/** Holds a piece that waits for a call or is in one. Used by one thread. */
-final class PendingPiece {
+/**
+ * Describes a piece that a request needs.
+ *
+ * @param attemptId id of the caller's attempt
+ * @param stage number of the stage
+ * @param piece number of the piece within the stage
+ * @param key key of a piece that reads no other results
+ * @param inputs handles of the results it reads
+ * @param bytes approximate size of the result, in bytes
+ * @param rank rank of the request; 0 is the most urgent
+ * @param startedNanos monotonic time at which the request was read
+ * @param dueNanos monotonic time at which the piece must be made for the request to be on time
+ * @param deadline time after which the result is of no use
+ * @param listener takes the end
+ */
+record PendingPiece(
+        String attemptId,
+        int stage,
+        int piece,
+        String key,
+        List<String> inputs,
+        long bytes,
+        int rank,
+        long startedNanos,
+        long dueNanos,
+        Deadline deadline,
+        PieceListener listener) {
 
-    /** Most urgent first, then in order of arrival. */
-    static final Comparator<PendingPiece> ORDER = Comparator.<PendingPiece>comparingInt(piece -> piece.rank)
-            .thenComparingLong(piece -> piece.startedNanos)
-            .thenComparingInt(piece -> piece.piece);
-
-    final String attemptId;
-    final int stage;
-    final int piece;
-    final long bytes;
-    final String key;
-    final List<String> inputs;
-    final int rank;
-    final long startedNanos;
-    final Deadline deadline;
-    final PieceListener listener;
-    int sends;
-    boolean cancelled;
-
-    /**
-     * Creates a piece.
-     *
-     * @param rank rank of the request; 0 is the most urgent
-     * @param startedNanos time at which the request was read, the order among equal ranks
-     */
-    PendingPiece(
-            String attemptId,
-            int stage,
-            int piece,
-            long bytes,
-            String key,
-            List<String> inputs,
-            int rank,
-            long startedNanos,
-            Deadline deadline,
-            PieceListener listener) {
-        this.attemptId = attemptId;
-        this.stage = stage;
-        this.piece = piece;
-        this.bytes = bytes;
-        this.key = key;
-        this.inputs = List.copyOf(inputs);
-        this.rank = rank;
-        this.startedNanos = startedNanos;
-        this.deadline = deadline;
-        this.listener = listener;
+    QueuedPiece queued(long order, PieceReceiver receiver) {
+        return new QueuedPiece(
+                order, receiver, attemptId, stage, piece, key, inputs, bytes, rank, startedNanos, dueNanos, deadline);
     }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageResult.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageResult.java
@@ -4,7 +4,8 @@
  * Names a result that a stage server keeps.
  *
  * @param handle handle that reads it
- * @param server server that keeps it
- * @param bytes approximate size, in bytes
+ * @param pool pool of the server
+ * @param server id of the server
+ * @param zone availability zone of the server
  */
-public record StageResult(String handle, StageServer server, long bytes) {}
+record StageResult(String handle, String pool, String server, String zone) {}
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageRun.java
@@ -5,9 +5,11 @@
 import io.masticfold.core.time.Deadline;
 import io.masticfold.gateway.protocol.PieceOutcome;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 
 /** Makes the results that one request reads, and releases them. Used by one thread. */
 public final class StageRun {
@@ -18,7 +20,9 @@
     private final String key;
     private final int rank;
     private final long startedNanos;
+    private final long dueNanos;
     private final Deadline deadline;
+    private final @Nullable String readerZone;
     private final StageRunListener listener;
     private final StageGraph graph;
     private final List<PendingPiece> pending = new ArrayList<>();
@@ -34,7 +38,9 @@
      * @param key key of the pieces that read no other results
      * @param rank rank of the request; 0 is the most urgent
      * @param startedNanos time at which the request was read
+     * @param dueNanos monotonic time at which the last result must exist for the request to be on time
      * @param deadline time after which the results are of no use
+     * @param readerZone availability zone in which the request is expected to run; null if unknown
      */
     public StageRun(
             StagePools pools,
@@ -44,7 +50,9 @@
             String key,
             int rank,
             long startedNanos,
+            long dueNanos,
             Deadline deadline,
+            @Nullable String readerZone,
             StageRunListener listener) {
         this.pools = pools;
         this.stages = List.copyOf(stages);
@@ -52,7 +60,9 @@
         this.key = key;
         this.rank = rank;
         this.startedNanos = startedNanos;
+        this.dueNanos = dueNanos;
         this.deadline = deadline;
+        this.readerZone = readerZone;
         this.listener = listener;
         this.graph = new StageGraph(stages, pieces);
     }
@@ -69,50 +79,88 @@
     /** Gives up the pieces that are not made and releases every result. */
     public void cancel() {
         ended = true;
-        pending.forEach(piece -> pools.pool(stages.get(piece.stage).pool()).cancel(piece));
+        pools.cancel(pending);
         pending.clear();
         release();
     }
 
+    /** Returns the size of the results that the request reads, in bytes, by availability zone of their servers. */
+    public Map<String, Long> finalBytesByZone() {
+        return bytesByZone(results.keySet());
+    }
+
+    private Map<String, Long> inputBytes(int stage) {
+        return bytesByZone(stages.get(stage).after());
+    }
+
+    private Map<String, Long> bytesByZone(Collection<Integer> of) {
+        Map<String, Long> bytes = new HashMap<>();
+        for (int stage : of) {
+            long size = stages.get(stage).resultBytes();
+            results.getOrDefault(stage, List.of()).forEach(result -> bytes.merge(result.zone(), size, Long::sum));
+        }
+        return bytes;
+    }
+
+    /** Keeps the results only until their room is needed, since the request has read them by now. */
+    public void resultsRead() {
+        results.values().forEach(pools::releaseUnlessNeeded);
+    }
+
     /** Releases every result. */
     public void release() {
-        results.forEach(
-                (stage, made) -> made.forEach(pools.pool(stages.get(stage).pool())::release));
+        results.values().forEach(pools::release);
         results.clear();
     }
 
     private void advance() {
         for (int stage : graph.startable()) {
+            List<PendingPiece> pieces = new ArrayList<>();
             for (int piece = 0; piece < graph.pieces(stage); piece++) {
-                submit(stage, piece);
+                pieces.add(piece(stage, piece));
+            }
+            if (!pieces.isEmpty()) {
+                pending.addAll(pieces);
+                pools.submit(stages.get(stage).pool(), pieces, inputBytes(stage), readerZone);
+            }
+        }
+    }
+
+    /** Returns the usual time of the longest chain of stages that follow a stage, in nanoseconds. */
+    private long afterNanos(int stage) {
+        long longest = 0;
+        for (int next = 0; next < stages.size(); next++) {
+            if (stages.get(next).after().contains(stage)) {
+                long usual = pools.usualTime(stages.get(next).pool()).toNanos();
+                longest = Math.max(longest, usual + afterNanos(next));
             }
         }
+        return longest;
     }
 
-    private void submit(int stage, int piece) {
+    private PendingPiece piece(int stage, int piece) {
         StageSpec spec = stages.get(stage);
         boolean reads = !spec.after().isEmpty();
-        PendingPiece next = new PendingPiece(
+        return new PendingPiece(
                 attemptId,
                 stage,
                 piece,
-                spec.resultBytes(),
                 reads ? "" : key,
                 reads ? graph.inputs(stage) : List.of(),
+                spec.resultBytes(),
                 rank,
                 startedNanos,
+                dueNanos - afterNanos(stage),
                 deadline,
                 new Outcome(stage, piece));
-        pending.add(next);
-        pools.pool(spec.pool()).add(next);
     }
 
     private void made(int stage, int piece, StageResult result) {
         if (ended) {
-            pools.pool(stages.get(stage).pool()).release(result);
+            pools.release(List.of(result));
             return;
         }
-        pending.removeIf(other -> other.stage == stage && other.piece == piece);
+        pending.removeIf(other -> other.stage() == stage && other.piece() == piece);
         results.computeIfAbsent(stage, _stage -> new ArrayList<>()).add(result);
         if (!graph.made(stage, piece, result.handle()) || !graph.complete(stage)) {
             return;
@@ -126,12 +174,21 @@
         }
     }
 
+    private void readButNotMade() {
+        for (int stage = 0; stage < stages.size(); stage++) {
+            List<StageResult> made = results.get(stage);
+            if (made != null && graph.readByFollowers(stage)) {
+                pools.releaseUnlessNeeded(made);
+            }
+        }
+    }
+
     private void releaseConsumed() {
         for (int stage = 0; stage < stages.size(); stage++) {
             List<StageResult> made = results.get(stage);
             if (made != null && graph.consumed(stage)) {
                 results.remove(stage);
-                made.forEach(pools.pool(stages.get(stage).pool())::release);
+                pools.release(made);
             }
         }
     }
@@ -154,6 +211,13 @@
             this.piece = piece;
         }
 
+        @Override
+        public void inputsRead() {
+            if (!ended && graph.inputsRead(stage, piece)) {
+                readButNotMade();
+            }
+        }
+
         @Override
         public void made(StageResult result) {
             StageRun.this.made(stage, piece, result);
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerAccount.java
@@ -0,0 +1,154 @@
+package io.masticfold.gateway.stage;
+
+import io.masticfold.core.time.TimeSource;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Accounts for the room, the speed and the pauses of one stage server. Used by one thread. */
+final class StageServerAccount {
+
+    /** Time for which releases are collected. */
+    static final Duration RELEASE_DELAY = Duration.ofMillis(5);
+
+    /** Time for a call that releases results. */
+    static final Duration RELEASE_TIMEOUT = Duration.ofSeconds(1);
+
+    /** Weight of the newest call in the measured slowness. */
+    private static final double SLOWNESS_WEIGHT = 0.3;
+
+    /** Range of the measured slowness. */
+    private static final double LEAST_SLOWNESS = 0.7;
+
+    private static final double MOST_SLOWNESS = 20;
+
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final TimeSource time;
+    private final Map<String, Kept> kept = new HashMap<>();
+    private final Set<String> evictable = new LinkedHashSet<>();
+    private List<String> released = new ArrayList<>();
+    private boolean releaseArmed;
+    private long keptBytes;
+    private long callBytes;
+    private long callStartedNanos;
+    private double callExpectedMillis;
+    private long pausedUntilNanos;
+    private double slowness = 1;
+
+    StageServerAccount(TimeSource time) {
+        this.time = time;
+        this.pausedUntilNanos = time.nanoTime();
+    }
+
+    double slowness() {
+        return slowness;
+    }
+
+    double callMillis() {
+        return (time.nanoTime() - callStartedNanos) / NANOS_PER_MILLI;
+    }
+
+    double remainingMillis() {
+        return callExpectedMillis == 0 ? 0 : Math.max(0, callExpectedMillis * slowness - callMillis());
+    }
+
+    void callStarted(long bytes, double expectedMillis) {
+        callBytes = bytes;
+        callStartedNanos = time.nanoTime();
+        callExpectedMillis = expectedMillis;
+    }
+
+    void callEnded(long bytes) {
+        callBytes -= bytes;
+        callExpectedMillis = 0;
+    }
+
+    void measured(double expectedMillis) {
+        double next = (1 - SLOWNESS_WEIGHT) * slowness + SLOWNESS_WEIGHT * callMillis() / expectedMillis;
+        slowness = Math.max(LEAST_SLOWNESS, Math.min(MOST_SLOWNESS, next));
+    }
+
+    void pause(Duration length) {
+        pausedUntilNanos = time.nanoTime() + length.toNanos();
+    }
+
+    double pauseMillis() {
+        return Math.max(0, (pausedUntilNanos - time.nanoTime()) / NANOS_PER_MILLI);
+    }
+
+    long roomBytes(long total) {
+        expire();
+        return total - keptBytes - callBytes;
+    }
+
+    void keep(String handle, long bytes, Duration keepTime) {
+        if (kept.put(handle, new Kept(bytes, time.nanoTime() + keepTime.toNanos())) == null) {
+            keptBytes += bytes;
+        }
+    }
+
+    void release(String handle) {
+        evictable.remove(handle);
+        released.add(handle);
+    }
+
+    /** Notes results that are only needed again after a failure. */
+    void evictable(List<String> handles) {
+        handles.stream().filter(kept::containsKey).forEach(evictable::add);
+    }
+
+    /** Releases the results that are only needed after a failure; returns whether there are any. */
+    boolean evict() {
+        if (evictable.isEmpty()) {
+            return false;
+        }
+        released.addAll(evictable);
+        evictable.clear();
+        return true;
+    }
+
+    /** Notes that the server was told to release results. */
+    void freed(List<String> handles) {
+        handles.forEach(this::drop);
+    }
+
+    private void drop(String handle) {
+        evictable.remove(handle);
+        Kept result = kept.remove(handle);
+        if (result != null) {
+            keptBytes -= result.bytes();
+        }
+    }
+
+    private void expire() {
+        long now = time.nanoTime();
+        List<String> ended = kept.entrySet().stream()
+                .filter(entry -> now - entry.getValue().untilNanos() > 0)
+                .map(Map.Entry::getKey)
+                .toList();
+        ended.forEach(this::drop);
+    }
+
+    boolean releaseArmed() {
+        return releaseArmed;
+    }
+
+    void armRelease() {
+        releaseArmed = true;
+    }
+
+    /** Takes the handles to release; their room counts as taken until {@link #freed}. */
+    List<String> takeReleased() {
+        List<String> handles = released;
+        released = new ArrayList<>();
+        releaseArmed = false;
+        return handles;
+    }
+
+    private record Kept(long bytes, long untilNanos) {}
+}
