--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -23,6 +23,7 @@
 import io.masticfold.gateway.settings.GatewaySettings;
 import io.masticfold.gateway.stage.StagePools;
 import io.masticfold.gateway.store.ObjectStoreClient;
+import io.masticfold.gateway.store.PeerKnowledge;
 import io.masticfold.gateway.store.PlatformView;
 import io.masticfold.gateway.store.PlatformWatch;
 import io.netty.channel.EventLoop;
@@ -63,6 +64,7 @@
     private final DecisionLog log;
     private final ObjectStoreClient store;
     private final PlatformWatch watch;
+    private final PeerKnowledge knowledge;
     private final StagePools stages;
     private final PeerLinks peers;
     private final FrontServer front;
@@ -86,8 +88,15 @@
         this.store = new ObjectStoreClient(client, scheduler, settings.store());
         this.watch = new PlatformWatch(store, protocol.store(), scheduler, view, log);
         GatewayContext context = new GatewayContext(settings, protocol, client, scheduler, view, log, telemetry);
+        this.knowledge = new PeerKnowledge(watch, scheduler, log);
         this.stages = new StagePools(context, _name -> retryBudget());
-        this.peers = new PeerLinks(group, scheduler, settings.node(), view::gateways, new PeerDispatcher(stages));
+        this.peers = new PeerLinks(
+                group,
+                scheduler,
+                settings.node(),
+                view::gateways,
+                settings.seeds(),
+                new PeerDispatcher(stages, knowledge));
         ForwardHandler handler = new ForwardHandler(context, stages, new TargetPools(context, _name -> retryBudget()));
         this.front = new FrontServer(group, time, this::limits, handler, reason -> {
             telemetry.count("bad_request_" + reason.code());
@@ -128,6 +137,7 @@
         loop.execute(() -> {
             watch.start();
             stages.start(peers);
+            knowledge.start(peers);
             register();
             closeIdle();
             log.failure(GatewayEvent.STARTED)
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/PeerDispatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/PeerDispatcher.java
@@ -4,19 +4,26 @@
 import io.masticfold.gateway.peer.PeerListener;
 import io.masticfold.gateway.peer.proto.PeerFrame;
 import io.masticfold.gateway.stage.StagePools;
+import io.masticfold.gateway.store.PeerKnowledge;
 
 /** Passes the frames of peers to the parts that they concern. */
 final class PeerDispatcher implements PeerListener {
 
     private final StagePools stages;
+    private final PeerKnowledge knowledge;
 
-    PeerDispatcher(StagePools stages) {
+    PeerDispatcher(StagePools stages, PeerKnowledge knowledge) {
         this.stages = stages;
+        this.knowledge = knowledge;
     }
 
     @Override
-    public void answered(String _peer, PeerFrame frame) {
-        stages.answered(frame);
+    public void answered(String peer, PeerFrame frame) {
+        if (frame.hasKnowledge()) {
+            knowledge.answered(peer, frame.getKnowledge());
+        } else {
+            stages.answered(frame);
+        }
     }
 
     @Override
@@ -26,7 +33,11 @@
 
     @Override
     public void asked(PeerCaller caller, PeerFrame frame) {
-        stages.asked(caller, frame);
+        if (frame.hasKnowledgeRequest()) {
+            knowledge.asked(caller, frame.getKnowledgeRequest());
+        } else {
+            stages.asked(caller, frame);
+        }
     }
 
     @Override
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
@@ -33,7 +33,8 @@
     PEER_CAUGHT_UP(6029, Level.INFO, "newer state was taken over from a peer"),
     HANDLER_FAILED(6030, Level.ERROR, "a request failed by a fault of the gateway"),
     STAGE_CALLED(6031, Level.INFO, "a stage server made pieces"),
-    STAGE_PIECE_FAILED(6032, Level.INFO, "a piece of stage work was not made");
+    STAGE_PIECE_FAILED(6032, Level.INFO, "a piece of stage work was not made"),
+    PEER_REFUSED(6033, Level.ERROR, "state told by a peer cannot be read");
 
     private final int number;
     private final Level level;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/PeerLinks.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/PeerLinks.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -39,10 +40,13 @@
 
     static final Duration LONGEST_PAUSE = Duration.ofSeconds(2);
 
+    private static final String SEED = "seed ";
+
     private final EventLoopGroup group;
     private final Scheduler scheduler;
     private final String node;
     private final Supplier<List<GatewayAddress>> gateways;
+    private final List<InetSocketAddress> seeds;
     private final PeerListener listener;
     private final Map<String, PeerLink> links = new HashMap<>();
     private final Set<Accepted> callers = new LinkedHashSet<>();
@@ -52,6 +56,7 @@
      *
      * @param node name of this gateway
      * @param gateways all known gateways
+     * @param seeds addresses that are tried while no gateway is known
      * @param listener receives the frames
      */
     public PeerLinks(
@@ -59,11 +64,13 @@
             Scheduler scheduler,
             String node,
             Supplier<List<GatewayAddress>> gateways,
+            List<InetSocketAddress> seeds,
             PeerListener listener) {
         this.group = group;
         this.scheduler = scheduler;
         this.node = node;
         this.gateways = gateways;
+        this.seeds = List.copyOf(seeds);
         this.listener = listener;
     }
 
@@ -86,12 +93,14 @@
 
     private void maintain() {
         long now = nowNanos();
-        for (GatewayAddress gateway : gateways.get()) {
+        List<GatewayAddress> known = known();
+        dropUnknown(known);
+        for (GatewayAddress gateway : known) {
             if (!gateway.name().equals(node)) {
-                PeerLink known = links.get(gateway.name());
-                if (known == null || !known.address().equals(gateway.peerAddress())) {
-                    if (known != null) {
-                        known.close();
+                PeerLink present = links.get(gateway.name());
+                if (present == null || !present.address().equals(gateway.peerAddress())) {
+                    if (present != null) {
+                        present.close();
                     }
                     links.put(gateway.name(), new PeerLink(gateway.name(), gateway.peerAddress(), this, now));
                 }
@@ -108,8 +117,33 @@
         scheduler.schedule(STATUS_INTERVAL, this::maintain);
     }
 
-    /** Returns the names of the peers that can be reached. */
+    private List<GatewayAddress> known() {
+        List<GatewayAddress> listed = gateways.get();
+        return listed.isEmpty()
+                ? seeds.stream()
+                        .map(address -> new GatewayAddress(SEED + address, "", address))
+                        .toList()
+                : listed;
+    }
+
+    private void dropUnknown(List<GatewayAddress> known) {
+        Set<String> names = known.stream().map(GatewayAddress::name).collect(Collectors.toSet());
+        links.values().removeIf(link -> {
+            boolean unknown = !names.contains(link.peer());
+            if (unknown) {
+                link.close();
+            }
+            return unknown;
+        });
+    }
+
+    /** Returns the names of the peers that can be reached, without seeds whose name is not known. */
     public List<String> reachable() {
+        return connected().stream().filter(peer -> !peer.startsWith(SEED)).toList();
+    }
+
+    /** Returns the names of all connected peers, seeds included. */
+    public List<String> connected() {
         return links.values().stream().filter(PeerLink::up).map(PeerLink::peer).toList();
     }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/KnowledgeRequest.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/KnowledgeRequest.java
@@ -32,6 +32,7 @@
     super(builder);
   }
   private KnowledgeRequest() {
+    revisions_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -52,37 +53,45 @@
             io.masticfold.gateway.peer.proto.KnowledgeRequest.class, io.masticfold.gateway.peer.proto.KnowledgeRequest.Builder.class);
   }
 
-  public static final int CONFIGURATION_REVISION_FIELD_NUMBER = 1;
-  private long configurationRevision_ = 0L;
+  public static final int REVISIONS_FIELD_NUMBER = 1;
+  @SuppressWarnings("serial")
+  private java.util.List<io.masticfold.gateway.peer.proto.KnownRevision> revisions_;
   /**
-   * <code>uint64 configuration_revision = 1;</code>
-   * @return The configurationRevision.
+   * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
    */
   @java.lang.Override
-  public long getConfigurationRevision() {
-    return configurationRevision_;
+  public java.util.List<io.masticfold.gateway.peer.proto.KnownRevision> getRevisionsList() {
+    return revisions_;
   }
-
-  public static final int TARGETS_REVISION_FIELD_NUMBER = 2;
-  private long targetsRevision_ = 0L;
   /**
-   * <code>uint64 targets_revision = 2;</code>
-   * @return The targetsRevision.
+   * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
    */
   @java.lang.Override
-  public long getTargetsRevision() {
-    return targetsRevision_;
+  public java.util.List<? extends io.masticfold.gateway.peer.proto.KnownRevisionOrBuilder> 
+      getRevisionsOrBuilderList() {
+    return revisions_;
+  }
+  /**
+   * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
+   */
+  @java.lang.Override
+  public int getRevisionsCount() {
+    return revisions_.size();
   }
-
-  public static final int ZONES_REVISION_FIELD_NUMBER = 3;
-  private long zonesRevision_ = 0L;
   /**
-   * <code>uint64 zones_revision = 3;</code>
-   * @return The zonesRevision.
+   * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
    */
   @java.lang.Override
-  public long getZonesRevision() {
-    return zonesRevision_;
+  public io.masticfold.gateway.peer.proto.KnownRevision getRevisions(int index) {
+    return revisions_.get(index);
+  }
+  /**
+   * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
+   */
+  @java.lang.Override
+  public io.masticfold.gateway.peer.proto.KnownRevisionOrBuilder getRevisionsOrBuilder(
+      int index) {
+    return revisions_.get(index);
   }
 
   private byte memoizedIsInitialized = -1;
@@ -99,31 +108,22 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (configurationRevision_ != 0L) {
-      output.writeUInt64(1, configurationRevision_);
-    }
-    if (targetsRevision_ != 0L) {
-      output.writeUInt64(2, targetsRevision_);
-    }
-    if (zonesRevision_ != 0L) {
-      output.writeUInt64(3, zonesRevision_);
+    for (int i = 0; i < revisions_.size(); i++) {
+      output.writeMessage(1, revisions_.get(i));
     }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
     int size = 0;
-    if (configurationRevision_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(1, configurationRevision_);
-    }
-    if (targetsRevision_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(2, targetsRevision_);
-    }
-    if (zonesRevision_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(3, zonesRevision_);
-    }
+
+        {
+          final int count = revisions_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(revisions_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -148,12 +148,8 @@
     }
     io.masticfold.gateway.peer.proto.KnowledgeRequest other = (io.masticfold.gateway.peer.proto.KnowledgeRequest) obj;
 
-    if (getConfigurationRevision()
-        != other.getConfigurationRevision()) return false;
-    if (getTargetsRevision()
-        != other.getTargetsRevision()) return false;
-    if (getZonesRevision()
-        != other.getZonesRevision()) return false;
+    if (!getRevisionsList()
+        .equals(other.getRevisionsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -165,15 +161,10 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + CONFIGURATION_REVISION_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getConfigurationRevision());
-    hash = (37 * hash) + TARGETS_REVISION_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getTargetsRevision());
-    hash = (37 * hash) + ZONES_REVISION_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getZonesRevision());
+    if (getRevisionsCount() > 0) {
+      hash = (37 * hash) + REVISIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getRevisionsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -309,9 +300,13 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      configurationRevision_ = 0L;
-      targetsRevision_ = 0L;
-      zonesRevision_ = 0L;
+      if (revisionsBuilder_ == null) {
+        revisions_ = java.util.Collections.emptyList();
+      } else {
+        revisions_ = null;
+        revisionsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000001);
       return this;
     }
 
@@ -338,22 +333,26 @@
     @java.lang.Override
     public io.masticfold.gateway.peer.proto.KnowledgeRequest buildPartial() {
       io.masticfold.gateway.peer.proto.KnowledgeRequest result = new io.masticfold.gateway.peer.proto.KnowledgeRequest(this);
+      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartialRepeatedFields(io.masticfold.gateway.peer.proto.KnowledgeRequest result) {
+      if (revisionsBuilder_ == null) {
+        if (((bitField0_ & 0x00000001) != 0)) {
+          revisions_ = java.util.Collections.unmodifiableList(revisions_);
+          bitField0_ = (bitField0_ & ~0x00000001);
+        }
+        result.revisions_ = revisions_;
+      } else {
+        result.revisions_ = revisionsBuilder_.build();
+      }
+    }
+
     private void buildPartial0(io.masticfold.gateway.peer.proto.KnowledgeRequest result) {
       int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.configurationRevision_ = configurationRevision_;
-      }
-      if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.targetsRevision_ = targetsRevision_;
-      }
-      if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.zonesRevision_ = zonesRevision_;
-      }
     }
 
     @java.lang.Override
@@ -368,14 +367,31 @@
 
     public Builder mergeFrom(io.masticfold.gateway.peer.proto.KnowledgeRequest other) {
       if (other == io.masticfold.gateway.peer.proto.KnowledgeRequest.getDefaultInstance()) return this;
-      if (other.getConfigurationRevision() != 0L) {
-        setConfigurationRevision(other.getConfigurationRevision());
-      }
-      if (other.getTargetsRevision() != 0L) {
-        setTargetsRevision(other.getTargetsRevision());
-      }
-      if (other.getZonesRevision() != 0L) {
-        setZonesRevision(other.getZonesRevision());
+      if (revisionsBuilder_ == null) {
+        if (!other.revisions_.isEmpty()) {
+          if (revisions_.isEmpty()) {
+            revisions_ = other.revisions_;
+            bitField0_ = (bitField0_ & ~0x00000001);
+          } else {
+            ensureRevisionsIsMutable();
+            revisions_.addAll(other.revisions_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.revisions_.isEmpty()) {
+          if (revisionsBuilder_.isEmpty()) {
+            revisionsBuilder_.dispose();
+            revisionsBuilder_ = null;
+            revisions_ = other.revisions_;
+            bitField0_ = (bitField0_ & ~0x00000001);
+            revisionsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetRevisionsFieldBuilder() : null;
+          } else {
+            revisionsBuilder_.addAllMessages(other.revisions_);
+          }
+        }
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -401,21 +417,19 @@
             case 0:
               done = true;
               break;
-            case 8: {
-              configurationRevision_ = input.readUInt64();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
-            case 16: {
-              targetsRevision_ = input.readUInt64();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 16
-            case 24: {
-              zonesRevision_ = input.readUInt64();
-              bitField0_ |= 0x00000004;
+            case 10: {
+              io.masticfold.gateway.peer.proto.KnownRevision m =
+                  input.readMessage(
+                      io.masticfold.gateway.peer.proto.KnownRevision.parser(),
+                      extensionRegistry);
+              if (revisionsBuilder_ == null) {
+                ensureRevisionsIsMutable();
+                revisions_.add(m);
+              } else {
+                revisionsBuilder_.addMessage(m);
+              }
               break;
-            } // case 24
+            } // case 10
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -433,101 +447,239 @@
     }
     private int bitField0_;
 
-    private long configurationRevision_ ;
+    private java.util.List<io.masticfold.gateway.peer.proto.KnownRevision> revisions_ =
+      java.util.Collections.emptyList();
+    private void ensureRevisionsIsMutable() {
+      if (!((bitField0_ & 0x00000001) != 0)) {
+        revisions_ = new java.util.ArrayList<io.masticfold.gateway.peer.proto.KnownRevision>(revisions_);
+        bitField0_ |= 0x00000001;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.masticfold.gateway.peer.proto.KnownRevision, io.masticfold.gateway.peer.proto.KnownRevision.Builder, io.masticfold.gateway.peer.proto.KnownRevisionOrBuilder> revisionsBuilder_;
+
     /**
-     * <code>uint64 configuration_revision = 1;</code>
-     * @return The configurationRevision.
+     * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
      */
-    @java.lang.Override
-    public long getConfigurationRevision() {
-      return configurationRevision_;
+    public java.util.List<io.masticfold.gateway.peer.proto.KnownRevision> getRevisionsList() {
+      if (revisionsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(revisions_);
+      } else {
+        return revisionsBuilder_.getMessageList();
+      }
     }
     /**
-     * <code>uint64 configuration_revision = 1;</code>
-     * @param value The configurationRevision to set.
-     * @return This builder for chaining.
+     * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
      */
-    public Builder setConfigurationRevision(long value) {
-
-      configurationRevision_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
+    public int getRevisionsCount() {
+      if (revisionsBuilder_ == null) {
+        return revisions_.size();
+      } else {
+        return revisionsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
+     */
+    public io.masticfold.gateway.peer.proto.KnownRevision getRevisions(int index) {
+      if (revisionsBuilder_ == null) {
+        return revisions_.get(index);
+      } else {
+        return revisionsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
+     */
+    public Builder setRevisions(
+        int index, io.masticfold.gateway.peer.proto.KnownRevision value) {
+      if (revisionsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureRevisionsIsMutable();
+        revisions_.set(index, value);
+        onChanged();
+      } else {
+        revisionsBuilder_.setMessage(index, value);
+      }
       return this;
     }
     /**
-     * <code>uint64 configuration_revision = 1;</code>
-     * @return This builder for chaining.
+     * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
      */
-    public Builder clearConfigurationRevision() {
-      bitField0_ = (bitField0_ & ~0x00000001);
-      configurationRevision_ = 0L;
-      onChanged();
+    public Builder setRevisions(
+        int index, io.masticfold.gateway.peer.proto.KnownRevision.Builder builderForValue) {
+      if (revisionsBuilder_ == null) {
+        ensureRevisionsIsMutable();
+        revisions_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        revisionsBuilder_.setMessage(index, builderForValue.build());
+      }
       return this;
     }
-
-    private long targetsRevision_ ;
     /**
-     * <code>uint64 targets_revision = 2;</code>
-     * @return The targetsRevision.
+     * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
      */
-    @java.lang.Override
-    public long getTargetsRevision() {
-      return targetsRevision_;
+    public Builder addRevisions(io.masticfold.gateway.peer.proto.KnownRevision value) {
+      if (revisionsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureRevisionsIsMutable();
+        revisions_.add(value);
+        onChanged();
+      } else {
+        revisionsBuilder_.addMessage(value);
+      }
+      return this;
     }
     /**
-     * <code>uint64 targets_revision = 2;</code>
-     * @param value The targetsRevision to set.
-     * @return This builder for chaining.
+     * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
      */
-    public Builder setTargetsRevision(long value) {
-
-      targetsRevision_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
+    public Builder addRevisions(
+        int index, io.masticfold.gateway.peer.proto.KnownRevision value) {
+      if (revisionsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureRevisionsIsMutable();
+        revisions_.add(index, value);
+        onChanged();
+      } else {
+        revisionsBuilder_.addMessage(index, value);
+      }
       return this;
     }
     /**
-     * <code>uint64 targets_revision = 2;</code>
-     * @return This builder for chaining.
+     * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
      */
-    public Builder clearTargetsRevision() {
-      bitField0_ = (bitField0_ & ~0x00000002);
-      targetsRevision_ = 0L;
-      onChanged();
+    public Builder addRevisions(
+        io.masticfold.gateway.peer.proto.KnownRevision.Builder builderForValue) {
+      if (revisionsBuilder_ == null) {
+        ensureRevisionsIsMutable();
+        revisions_.add(builderForValue.build());
+        onChanged();
+      } else {
+        revisionsBuilder_.addMessage(builderForValue.build());
+      }
       return this;
     }
-
-    private long zonesRevision_ ;
     /**
-     * <code>uint64 zones_revision = 3;</code>
-     * @return The zonesRevision.
+     * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
      */
-    @java.lang.Override
-    public long getZonesRevision() {
-      return zonesRevision_;
+    public Builder addRevisions(
+        int index, io.masticfold.gateway.peer.proto.KnownRevision.Builder builderForValue) {
+      if (revisionsBuilder_ == null) {
+        ensureRevisionsIsMutable();
+        revisions_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        revisionsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
     }
     /**
-     * <code>uint64 zones_revision = 3;</code>
-     * @param value The zonesRevision to set.
-     * @return This builder for chaining.
+     * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
      */
-    public Builder setZonesRevision(long value) {
-
-      zonesRevision_ = value;
-      bitField0_ |= 0x00000004;
-      onChanged();
+    public Builder addAllRevisions(
+        java.lang.Iterable<? extends io.masticfold.gateway.peer.proto.KnownRevision> values) {
+      if (revisionsBuilder_ == null) {
+        ensureRevisionsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, revisions_);
+        onChanged();
+      } else {
+        revisionsBuilder_.addAllMessages(values);
+      }
       return this;
     }
     /**
-     * <code>uint64 zones_revision = 3;</code>
-     * @return This builder for chaining.
+     * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
      */
-    public Builder clearZonesRevision() {
-      bitField0_ = (bitField0_ & ~0x00000004);
-      zonesRevision_ = 0L;
-      onChanged();
+    public Builder clearRevisions() {
+      if (revisionsBuilder_ == null) {
+        revisions_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+      } else {
+        revisionsBuilder_.clear();
+      }
       return this;
     }
+    /**
+     * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
+     */
+    public Builder removeRevisions(int index) {
+      if (revisionsBuilder_ == null) {
+        ensureRevisionsIsMutable();
+        revisions_.remove(index);
+        onChanged();
+      } else {
+        revisionsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
+     */
+    public io.masticfold.gateway.peer.proto.KnownRevision.Builder getRevisionsBuilder(
+        int index) {
+      return internalGetRevisionsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
+     */
+    public io.masticfold.gateway.peer.proto.KnownRevisionOrBuilder getRevisionsOrBuilder(
+        int index) {
+      if (revisionsBuilder_ == null) {
+        return revisions_.get(index);  } else {
+        return revisionsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
+     */
+    public java.util.List<? extends io.masticfold.gateway.peer.proto.KnownRevisionOrBuilder> 
+         getRevisionsOrBuilderList() {
+      if (revisionsBuilder_ != null) {
+        return revisionsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(revisions_);
+      }
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
+     */
+    public io.masticfold.gateway.peer.proto.KnownRevision.Builder addRevisionsBuilder() {
+      return internalGetRevisionsFieldBuilder().addBuilder(
+          io.masticfold.gateway.peer.proto.KnownRevision.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
+     */
+    public io.masticfold.gateway.peer.proto.KnownRevision.Builder addRevisionsBuilder(
+        int index) {
+      return internalGetRevisionsFieldBuilder().addBuilder(
+          index, io.masticfold.gateway.peer.proto.KnownRevision.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
+     */
+    public java.util.List<io.masticfold.gateway.peer.proto.KnownRevision.Builder> 
+         getRevisionsBuilderList() {
+      return internalGetRevisionsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.masticfold.gateway.peer.proto.KnownRevision, io.masticfold.gateway.peer.proto.KnownRevision.Builder, io.masticfold.gateway.peer.proto.KnownRevisionOrBuilder> 
+        internalGetRevisionsFieldBuilder() {
+      if (revisionsBuilder_ == null) {
+        revisionsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.masticfold.gateway.peer.proto.KnownRevision, io.masticfold.gateway.peer.proto.KnownRevision.Builder, io.masticfold.gateway.peer.proto.KnownRevisionOrBuilder>(
+                revisions_,
+                ((bitField0_ & 0x00000001) != 0),
+                getParentForChildren(),
+                isClean());
+        revisions_ = null;
+      }
+      return revisionsBuilder_;
+    }
 
     // @@protoc_insertion_point(builder_scope:masticfold.gateway.KnowledgeRequest)
   }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/KnowledgeRequestOrBuilder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/KnowledgeRequestOrBuilder.java
@@ -11,20 +11,26 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>uint64 configuration_revision = 1;</code>
-   * @return The configurationRevision.
+   * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
    */
-  long getConfigurationRevision();
-
+  java.util.List<io.masticfold.gateway.peer.proto.KnownRevision> 
+      getRevisionsList();
   /**
-   * <code>uint64 targets_revision = 2;</code>
-   * @return The targetsRevision.
+   * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
    */
-  long getTargetsRevision();
-
+  io.masticfold.gateway.peer.proto.KnownRevision getRevisions(int index);
+  /**
+   * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
+   */
+  int getRevisionsCount();
+  /**
+   * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
+   */
+  java.util.List<? extends io.masticfold.gateway.peer.proto.KnownRevisionOrBuilder> 
+      getRevisionsOrBuilderList();
   /**
-   * <code>uint64 zones_revision = 3;</code>
-   * @return The zonesRevision.
+   * <code>repeated .masticfold.gateway.KnownRevision revisions = 1;</code>
    */
-  long getZonesRevision();
+  io.masticfold.gateway.peer.proto.KnownRevisionOrBuilder getRevisionsOrBuilder(
+      int index);
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/Peer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/Peer.java
@@ -81,6 +81,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_masticfold_gateway_KnowledgeRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_masticfold_gateway_KnownRevision_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_masticfold_gateway_KnownRevision_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_masticfold_gateway_Knowledge_descriptor;
   static final 
@@ -135,16 +140,17 @@
       "tus\0222\n\007servers\030\001 \003(\0132!.masticfold.gatewa" +
       "y.ServerBacklog\"K\n\rServerBacklog\022\016\n\006serv" +
       "er\030\001 \001(\t\022\026\n\016backlog_millis\030\002 \001(\r\022\022\n\nroom" +
-      "_bytes\030\003 \001(\004\"d\n\020KnowledgeRequest\022\036\n\026conf" +
-      "iguration_revision\030\001 \001(\004\022\030\n\020targets_revi" +
-      "sion\030\002 \001(\004\022\026\n\016zones_revision\030\003 \001(\004\"9\n\tKn" +
-      "owledge\022,\n\005kinds\030\001 \003(\0132\035.masticfold.gate" +
-      "way.KnownKind\"]\n\tKnownKind\022\014\n\004kind\030\001 \001(\r" +
-      "\022\020\n\010revision\030\002 \001(\004\0220\n\007objects\030\003 \003(\0132\037.ma" +
-      "sticfold.gateway.KnownObject\">\n\013KnownObj" +
-      "ect\022\014\n\004name\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\017\n\007c" +
-      "ontent\030\003 \001(\014B&\n io.masticfold.gateway.pe" +
-      "er.protoH\001P\001b\006proto3"
+      "_bytes\030\003 \001(\004\"H\n\020KnowledgeRequest\0224\n\trevi" +
+      "sions\030\001 \003(\0132!.masticfold.gateway.KnownRe" +
+      "vision\"/\n\rKnownRevision\022\014\n\004kind\030\001 \001(\r\022\020\n" +
+      "\010revision\030\002 \001(\004\"9\n\tKnowledge\022,\n\005kinds\030\001 " +
+      "\003(\0132\035.masticfold.gateway.KnownKind\"]\n\tKn" +
+      "ownKind\022\014\n\004kind\030\001 \001(\r\022\020\n\010revision\030\002 \001(\004\022" +
+      "0\n\007objects\030\003 \003(\0132\037.masticfold.gateway.Kn" +
+      "ownObject\">\n\013KnownObject\022\014\n\004name\030\001 \001(\t\022\020" +
+      "\n\010revision\030\002 \001(\004\022\017\n\007content\030\003 \001(\014B&\n io." +
+      "masticfold.gateway.peer.protoH\001P\001b\006proto" +
+      "3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -215,21 +221,27 @@
     internal_static_masticfold_gateway_KnowledgeRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_KnowledgeRequest_descriptor,
-        new java.lang.String[] { "ConfigurationRevision", "TargetsRevision", "ZonesRevision", });
-    internal_static_masticfold_gateway_Knowledge_descriptor =
+        new java.lang.String[] { "Revisions", });
+    internal_static_masticfold_gateway_KnownRevision_descriptor =
       getDescriptor().getMessageType(11);
+    internal_static_masticfold_gateway_KnownRevision_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_masticfold_gateway_KnownRevision_descriptor,
+        new java.lang.String[] { "Kind", "Revision", });
+    internal_static_masticfold_gateway_Knowledge_descriptor =
+      getDescriptor().getMessageType(12);
     internal_static_masticfold_gateway_Knowledge_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_Knowledge_descriptor,
         new java.lang.String[] { "Kinds", });
     internal_static_masticfold_gateway_KnownKind_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_masticfold_gateway_KnownKind_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_KnownKind_descriptor,
         new java.lang.String[] { "Kind", "Revision", "Objects", });
     internal_static_masticfold_gateway_KnownObject_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_masticfold_gateway_KnownObject_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_KnownObject_descriptor,
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/settings/GatewaySettings.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/settings/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 
 /**
  * Holds the settings of one gateway.
@@ -11,6 +12,7 @@
  * @param listen address for callers
  * @param readiness address of the readiness probe
  * @param peer address at which other gateways ask for what this one knows
+ * @param seeds addresses at which some other gateways may answer while the store is away
  * @param store address of the platform's object store
  * @param metricsPort port of the metrics page; 0 serves none
  * @param grace time between the request to stop and the kill
@@ -27,6 +29,7 @@
         InetSocketAddress listen,
         InetSocketAddress readiness,
         InetSocketAddress peer,
+        List<InetSocketAddress> seeds,
         InetSocketAddress store,
         int metricsPort,
         Duration grace,
@@ -37,8 +40,9 @@
         double coldFactor,
         double coldSlack) {
 
-    /** Checks the ranges. */
+    /** Copies the list and checks the ranges. */
     public GatewaySettings {
+        seeds = List.copyOf(seeds);
         if (node.isEmpty()) {
             throw new IllegalArgumentException("node must not be empty");
         }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/settings/GatewaySettingsReader.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/settings/GatewaySettingsReader.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway.settings;
 
+import io.masticfold.platform.json.AddressSupport;
 import io.masticfold.platform.json.FieldReader;
 import io.masticfold.platform.json.JsonDocument;
 import io.masticfold.platform.json.JsonProblemException;
@@ -8,6 +9,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 
 /** Reads the settings of a gateway from JSON with comments. */
@@ -41,12 +44,27 @@
         return settings.orElseThrow();
     }
 
+    /** Reads addresses of other machines; their gateways answer peers at the same port as this one. */
+    private static List<InetSocketAddress> seeds(FieldReader fields, InetSocketAddress peer) {
+        List<InetSocketAddress> seeds = new ArrayList<>();
+        for (String text : fields.texts("seeds")) {
+            Optional<InetSocketAddress> address = AddressSupport.parse(text);
+            if (address.isEmpty()) {
+                fields.report("seeds", "accepted: ip:port, not " + text);
+            } else {
+                seeds.add(new InetSocketAddress(address.get().getAddress(), peer.getPort()));
+            }
+        }
+        return seeds;
+    }
+
     private static Optional<GatewaySettings> fields(FieldReader fields) {
         String node = fields.text("node");
         String zone = fields.text("zone");
         InetSocketAddress listen = fields.address("listen");
         InetSocketAddress readiness = fields.address("readiness");
         InetSocketAddress peer = fields.address("peer");
+        List<InetSocketAddress> seeds = seeds(fields, peer);
         InetSocketAddress store = fields.address("store");
         int metricsPort = fields.integer("metricsPort", 0, MAX_PORT, 0);
         int graceMillis = (int) (fields.positive("graceSeconds") * 1000);
@@ -62,6 +80,7 @@
                 listen,
                 readiness,
                 peer,
+                seeds,
                 store,
                 metricsPort,
                 Duration.ofMillis(graceMillis),
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/KindWatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/KindWatcher.java
@@ -10,7 +10,9 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
@@ -39,6 +41,10 @@
     private final KindListener listener;
     private List<StoreObject> pages = new ArrayList<>();
     private Duration failurePause = SHORTEST_PAUSE;
+    private final Map<String, StoreObject> objects = new HashMap<>();
+    private long listRevision;
+    private long knownRevision;
+    private boolean failing;
 
     /**
      * Creates a watcher.
@@ -64,11 +70,51 @@
         list(null);
     }
 
+    /** Returns the kind that is watched. */
+    StoreKind kind() {
+        return kind;
+    }
+
+    /** Returns the revision up to which every change is known; 0 before the first list. */
+    long knownRevision() {
+        return knownRevision;
+    }
+
+    /**
+     * Takes over a complete list that a peer has read from the store.
+     *
+     * @return whether it was newer than what is known
+     */
+    boolean takeOver(List<StoreObject> listed, long revision) {
+        if (revision <= knownRevision) {
+            return false;
+        }
+        replaceAll(listed, revision);
+        return true;
+    }
+
+    /** Returns the present objects. */
+    List<StoreObject> objects() {
+        return List.copyOf(objects.values());
+    }
+
+    /** Returns whether the last call failed, so that what is known may be out of date. */
+    boolean failing() {
+        return failing;
+    }
+
+    private void replaceAll(List<StoreObject> listed, long revision) {
+        knownRevision = revision;
+        objects.clear();
+        listed.forEach(object -> objects.put(object.name(), object));
+        listener.listed(listed, revision);
+    }
+
     private void list(@Nullable String after) {
         if (after == null) {
             pages = new ArrayList<>();
         }
-        store.read(dialect.listUri(kind, after), LIST_TIMEOUT, result -> listed(result));
+        store.read(dialect.listUri(kind, after), LIST_TIMEOUT, this::listed);
     }
 
     private void listed(CallResult result) {
@@ -76,29 +122,33 @@
                 result,
                 dialect::decodePage,
                 page -> {
+                    if (pages.isEmpty()) {
+                        listRevision = page.revision();
+                    }
                     pages.addAll(page.objects());
                     if (page.more() && !page.objects().isEmpty()) {
                         list(page.objects().get(page.objects().size() - 1).name());
                     } else {
-                        listener.listed(List.copyOf(pages), page.revision());
-                        watchLater(page.revision());
+                        // Changes made while the pages were read follow in the watch from the first one.
+                        if (listRevision >= knownRevision) {
+                            replaceAll(List.copyOf(pages), listRevision);
+                        }
+                        watchLater();
                     }
                 },
                 () -> list(null));
     }
 
-    private void watchLater(long revision) {
-        scheduler.schedule(pause, () -> watch(revision));
+    private void watchLater() {
+        scheduler.schedule(pause, this::watch);
     }
 
-    private void watch(long revision) {
-        store.read(
-                dialect.watchUri(kind, revision, WATCH_WAIT),
-                WATCH_WAIT.plus(ANSWER_TIMEOUT),
-                result -> watched(result, revision));
+    private void watch() {
+        long revision = knownRevision;
+        store.read(dialect.watchUri(kind, revision, WATCH_WAIT), WATCH_WAIT.plus(ANSWER_TIMEOUT), this::watched);
     }
 
-    private void watched(CallResult result, long revision) {
+    private void watched(CallResult result) {
         if (result instanceof CallResult.Answered answered && answered.status() == HttpResponseStatus.GONE.code()) {
             listener.answered();
             list(null);
@@ -108,12 +158,25 @@
                 result,
                 dialect::decodeChanges,
                 page -> {
-                    if (!page.objects().isEmpty()) {
-                        listener.changed(page.objects(), page.revision());
+                    // A peer may have told of later changes while the watch was open.
+                    if (page.revision() > knownRevision) {
+                        knownRevision = page.revision();
+                        if (!page.objects().isEmpty()) {
+                            page.objects().forEach(this::put);
+                            listener.changed(page.objects(), page.revision());
+                        }
                     }
-                    watchLater(Math.max(revision, page.revision()));
+                    watchLater();
                 },
-                () -> watch(revision));
+                this::watch);
+    }
+
+    private void put(StoreObject object) {
+        if (object.deleted()) {
+            objects.remove(object.name());
+        } else {
+            objects.put(object.name(), object);
+        }
     }
 
     private void decode(CallResult result, Decoder decoder, Consumer<StorePage> next, Runnable again) {
@@ -123,6 +186,7 @@
                 try {
                     StorePage page = decoder.decode(answered.body());
                     failurePause = SHORTEST_PAUSE;
+                    failing = false;
                     listener.answered();
                     next.accept(page);
                     return;
@@ -135,6 +199,7 @@
         } else {
             problem = ((CallResult.Failed) result).detail();
         }
+        failing = true;
         listener.failed(kind + ": " + problem);
         scheduler.schedule(failurePause, again);
         Duration longer = failurePause.multipliedBy(2);
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PeerKnowledge.java
@@ -0,0 +1,139 @@
+package io.masticfold.gateway.store;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.protobuf.ByteString;
+import io.masticfold.core.time.Scheduler;
+import io.masticfold.gateway.log.DecisionLog;
+import io.masticfold.gateway.log.GatewayEvent;
+import io.masticfold.gateway.peer.PeerCaller;
+import io.masticfold.gateway.peer.PeerLinks;
+import io.masticfold.gateway.peer.proto.Knowledge;
+import io.masticfold.gateway.peer.proto.KnowledgeRequest;
+import io.masticfold.gateway.peer.proto.KnownKind;
+import io.masticfold.gateway.peer.proto.KnownObject;
+import io.masticfold.gateway.peer.proto.KnownRevision;
+import io.masticfold.gateway.peer.proto.PeerFrame;
+import io.masticfold.gateway.protocol.StoreObject;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Learns from peers what this gateway cannot read from the store, and teaches them. A peer's objects carry the revision
+ * of the store, so the newer state wins, whoever tells it.
+ */
+public final class PeerKnowledge {
+
+    /** Time between two questions while the store does not answer this gateway. */
+    private static final Duration ASK_INTERVAL = Duration.ofMillis(300);
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final PlatformWatch watch;
+    private final Scheduler scheduler;
+    private final DecisionLog log;
+    private int asked;
+
+    /** Creates the exchange. */
+    public PeerKnowledge(PlatformWatch watch, Scheduler scheduler, DecisionLog log) {
+        this.watch = watch;
+        this.scheduler = scheduler;
+        this.log = log;
+    }
+
+    /** Starts to ask peers whenever the store does not answer. */
+    public void start(PeerLinks links) {
+        scheduler.schedule(ASK_INTERVAL, () -> {
+            ask(links);
+            start(links);
+        });
+    }
+
+    private void ask(PeerLinks links) {
+        boolean needed =
+                watch.watchers().stream().anyMatch(watcher -> watcher.failing() || watcher.knownRevision() == 0);
+        List<String> peers = links.connected();
+        if (!needed || peers.isEmpty()) {
+            return;
+        }
+        KnowledgeRequest.Builder request = KnowledgeRequest.newBuilder();
+        for (KindWatcher watcher : watch.watchers()) {
+            request.addRevisions(
+                    KnownRevision.newBuilder().setKind(watcher.kind().ordinal()).setRevision(watcher.knownRevision()));
+        }
+        // One peer after the other, since some may not reach the store either.
+        links.send(
+                peers.get(asked++ % peers.size()),
+                PeerFrame.newBuilder().setKnowledgeRequest(request).build());
+    }
+
+    /** Answers a peer with what is newer than it knows. */
+    public void asked(PeerCaller caller, KnowledgeRequest request) {
+        Map<Integer, Long> theirs = new HashMap<>();
+        request.getRevisionsList().forEach(known -> theirs.put(known.getKind(), known.getRevision()));
+        Knowledge.Builder knowledge = Knowledge.newBuilder();
+        for (KindWatcher watcher : watch.watchers()) {
+            int kind = watcher.kind().ordinal();
+            if (watcher.knownRevision() > theirs.getOrDefault(kind, Long.MAX_VALUE)) {
+                knowledge.addKinds(encode(watcher));
+            }
+        }
+        if (knowledge.getKindsCount() > 0) {
+            caller.send(PeerFrame.newBuilder().setKnowledge(knowledge).build());
+        }
+    }
+
+    private static KnownKind encode(KindWatcher watcher) {
+        KnownKind.Builder kind =
+                KnownKind.newBuilder().setKind(watcher.kind().ordinal()).setRevision(watcher.knownRevision());
+        for (StoreObject object : watcher.objects()) {
+            kind.addObjects(KnownObject.newBuilder()
+                    .setName(object.name())
+                    .setRevision(object.revision())
+                    .setContent(ByteString.copyFromUtf8(object.content().toString())));
+        }
+        return kind.build();
+    }
+
+    /** Takes over what a peer knows. */
+    public void answered(String peer, Knowledge knowledge) {
+        for (KnownKind known : knowledge.getKindsList()) {
+            for (KindWatcher watcher : watch.watchers()) {
+                if (watcher.kind().ordinal() == known.getKind()) {
+                    takeOver(peer, watcher, known);
+                }
+            }
+        }
+    }
+
+    private void takeOver(String peer, KindWatcher watcher, KnownKind known) {
+        long before = watcher.knownRevision();
+        try {
+            List<StoreObject> objects = new ArrayList<>();
+            for (KnownObject object : known.getObjectsList()) {
+                objects.add(new StoreObject(
+                        object.getName(),
+                        object.getRevision(),
+                        JSON.readTree(object.getContent().toByteArray()),
+                        false));
+            }
+            if (watcher.takeOver(objects, known.getRevision())) {
+                log.failure(GatewayEvent.PEER_CAUGHT_UP)
+                        .addKeyValue("peer", peer)
+                        .addKeyValue("kind", watcher.kind())
+                        .addKeyValue("fromRevision", before)
+                        .addKeyValue("toRevision", known.getRevision())
+                        .log();
+            }
+        } catch (IOException e) {
+            log.failure(GatewayEvent.PEER_REFUSED)
+                    .addKeyValue("peer", peer)
+                    .addKeyValue("kind", watcher.kind())
+                    .addKeyValue("problem", e.getMessage())
+                    .log();
+        }
+    }
+}
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatch.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatch.java
@@ -72,6 +72,11 @@
         return view.config() != null && targetsListed && zonesListed;
     }
 
+    /** Returns the watchers of all kinds. */
+    List<KindWatcher> watchers() {
+        return watchers;
+    }
+
     private void expire() {
         if (table.expire()) {
             publish();
