Hold requests back before their first stage while the pools are overloaded; end in time after SIGTERM

Change 1: a request begins its stages only if it is expected to be on time behind what waits and what is on its way, or if the pools have little to do; otherwise it waits before the first stage, and is refused at once where the queue is hopeless.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -21,6 +21,7 @@
 import io.masticfold.gateway.request.ForwardHandler;
 import io.masticfold.gateway.request.TargetPools;
 import io.masticfold.gateway.settings.GatewaySettings;
+import io.masticfold.gateway.stage.StageGate;
 import io.masticfold.gateway.stage.StagePools;
 import io.masticfold.gateway.store.ObjectStoreClient;
 import io.masticfold.gateway.store.PeerKnowledge;
@@ -40,6 +41,12 @@
     /** Time after the request to stop during which callers that do not know yet may still open connections. */
     private static final Duration STOP_ACCEPTING_AFTER = Duration.ofMillis(3200);
 
+    /** Time before the kill at which requests that are not with a target are told to go elsewhere. */
+    private static final Duration REFUSE_BEFORE_KILL = Duration.ofMillis(2000);
+
+    /** Time before the kill at which the process ends whatever is left. */
+    private static final Duration END_BEFORE_KILL = Duration.ofMillis(250);
+
     /** Time between two looks whether the last request is done. */
     private static final Duration STOP_CHECK = Duration.ofMillis(50);
 
@@ -66,6 +73,8 @@
     private final PlatformWatch watch;
     private final PeerKnowledge knowledge;
     private final StagePools stages;
+    private final StageGate gate;
+    private final ForwardHandler handler;
     private final PeerLinks peers;
     private final FrontServer front;
     private final FrontServer readiness;
@@ -90,6 +99,7 @@
         GatewayContext context = new GatewayContext(settings, protocol, client, scheduler, view, log, telemetry);
         this.knowledge = new PeerKnowledge(watch, scheduler, log);
         this.stages = new StagePools(context, _name -> retryBudget());
+        this.gate = new StageGate(context);
         this.peers = new PeerLinks(
                 group,
                 scheduler,
@@ -97,7 +107,7 @@
                 view::gateways,
                 settings.seeds(),
                 new PeerDispatcher(stages, knowledge));
-        ForwardHandler handler = new ForwardHandler(context, stages, new TargetPools(context, _name -> retryBudget()));
+        this.handler = new ForwardHandler(context, stages, gate, new TargetPools(context, _name -> retryBudget()));
         this.front = new FrontServer(group, time, this::limits, handler, reason -> {
             telemetry.count("bad_request_" + reason.code());
             log.failure(GatewayEvent.BAD_REQUEST)
@@ -192,18 +202,27 @@
                 front.stopAccepting();
                 awaitIdle();
             });
+            scheduler.schedule(settings.grace().minus(REFUSE_BEFORE_KILL), handler::refuseUnsent);
+            scheduler.schedule(settings.grace().minus(END_BEFORE_KILL), this::end);
         });
     }
 
     private void awaitIdle() {
         if (front.idle()) {
-            log.failure(GatewayEvent.STOPPED).log();
-            scheduler.schedule(STOP_CHECK, stopped::countDown);
+            end();
         } else {
             scheduler.schedule(STOP_CHECK, this::awaitIdle);
         }
     }
 
+    private void end() {
+        log.failure(GatewayEvent.STOPPED)
+                .addKeyValue("connections", front.connections())
+                .addKeyValue("idle", front.idle())
+                .log();
+        scheduler.schedule(STOP_CHECK, stopped::countDown);
+    }
+
     /**
      * Waits until every request has been answered after {@link #stop}.
      *
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/ServerBacklog.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/ServerBacklog.java
@@ -110,6 +110,17 @@
     return roomBytes_;
   }
 
+  public static final int ON_TIME_BACKLOG_MILLIS_FIELD_NUMBER = 4;
+  private int onTimeBacklogMillis_ = 0;
+  /**
+   * <code>uint32 on_time_backlog_millis = 4;</code>
+   * @return The onTimeBacklogMillis.
+   */
+  @java.lang.Override
+  public int getOnTimeBacklogMillis() {
+    return onTimeBacklogMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -133,6 +144,9 @@
     if (roomBytes_ != 0L) {
       output.writeUInt64(3, roomBytes_);
     }
+    if (onTimeBacklogMillis_ != 0) {
+      output.writeUInt32(4, onTimeBacklogMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -148,6 +162,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(3, roomBytes_);
     }
+    if (onTimeBacklogMillis_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(4, onTimeBacklogMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -178,6 +196,8 @@
         != other.getBacklogMillis()) return false;
     if (getRoomBytes()
         != other.getRoomBytes()) return false;
+    if (getOnTimeBacklogMillis()
+        != other.getOnTimeBacklogMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -196,6 +216,8 @@
     hash = (37 * hash) + ROOM_BYTES_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getRoomBytes());
+    hash = (37 * hash) + ON_TIME_BACKLOG_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + getOnTimeBacklogMillis();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -330,6 +352,7 @@
       server_ = "";
       backlogMillis_ = 0;
       roomBytes_ = 0L;
+      onTimeBacklogMillis_ = 0;
       return this;
     }
 
@@ -372,6 +395,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.roomBytes_ = roomBytes_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.onTimeBacklogMillis_ = onTimeBacklogMillis_;
+      }
     }
 
     @java.lang.Override
@@ -397,6 +423,9 @@
       if (other.getRoomBytes() != 0L) {
         setRoomBytes(other.getRoomBytes());
       }
+      if (other.getOnTimeBacklogMillis() != 0) {
+        setOnTimeBacklogMillis(other.getOnTimeBacklogMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -436,6 +465,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              onTimeBacklogMillis_ = input.readUInt32();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -589,6 +623,38 @@
       return this;
     }
 
+    private int onTimeBacklogMillis_ ;
+    /**
+     * <code>uint32 on_time_backlog_millis = 4;</code>
+     * @return The onTimeBacklogMillis.
+     */
+    @java.lang.Override
+    public int getOnTimeBacklogMillis() {
+      return onTimeBacklogMillis_;
+    }
+    /**
+     * <code>uint32 on_time_backlog_millis = 4;</code>
+     * @param value The onTimeBacklogMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOnTimeBacklogMillis(int value) {
+
+      onTimeBacklogMillis_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint32 on_time_backlog_millis = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOnTimeBacklogMillis() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      onTimeBacklogMillis_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:masticfold.gateway.ServerBacklog)
   }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/ServerBacklogOrBuilder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/ServerBacklogOrBuilder.java
@@ -33,4 +33,10 @@
    * @return The roomBytes.
    */
   long getRoomBytes();
+
+  /**
+   * <code>uint32 on_time_backlog_millis = 4;</code>
+   * @return The onTimeBacklogMillis.
+   */
+  int getOnTimeBacklogMillis();
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
@@ -16,12 +16,15 @@
 import io.masticfold.gateway.log.GatewayEvent;
 import io.masticfold.gateway.protocol.CallerMetadata;
 import io.masticfold.gateway.protocol.PromptPart;
+import io.masticfold.gateway.stage.StageGate;
 import io.masticfold.gateway.stage.StagePools;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.time.Duration;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 
 /** Routes the requests of callers and starts their runs. Used by one thread. */
@@ -32,12 +35,13 @@
 
     private final GatewayContext context;
     private final RequestServices services;
+    private final Set<RequestRun> active = new LinkedHashSet<>();
 
     /** Creates the handler. */
-    public ForwardHandler(GatewayContext context, StagePools stages, TargetPools targets) {
+    public ForwardHandler(GatewayContext context, StagePools stages, StageGate gate, TargetPools targets) {
         this.context = context;
         this.services = new RequestServices(
-                stages, targets, new TargetRequests(context.protocol().headers()));
+                stages, gate, targets, new TargetRequests(context.protocol().headers()));
     }
 
     @Override
@@ -61,12 +65,18 @@
         if (metadata.deadlineMillis() == 0) {
             return refuse(request, metadata, answer, ErrorKind.DEADLINE_EXPIRED, "deadline has passed");
         }
-        RequestRun run =
-                new RequestRun(context, services, plan(request, metadata, config, route.get(), workspace), answer);
+        RequestRun run = new RequestRun(
+                context, services, plan(request, metadata, config, route.get(), workspace), answer, active::remove);
+        active.add(run);
         run.start();
         return run;
     }
 
+    /** Refuses every request that has not been sent to a target, since this gateway is about to end. */
+    public void refuseUnsent() {
+        List.copyOf(active).forEach(RequestRun::refuseUnsent);
+    }
+
     private RequestPlan plan(
             CallerRequest request,
             CallerMetadata metadata,
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -26,6 +26,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /** Takes one routed request through its stages and to a target, and answers the caller. Used by one thread. */
@@ -45,6 +46,7 @@
     private final GatewayContext context;
     private final RequestServices services;
     private final RequestPlan plan;
+    private final Consumer<RequestRun> onEnd;
     private final FinalAnswer answer;
     private final @Nullable StreamProgress progress;
     private final Set<String> excluded = new HashSet<>();
@@ -62,7 +64,13 @@
     private long sentNanos;
     private long firstEventNanos;
 
-    RequestRun(GatewayContext context, RequestServices services, RequestPlan plan, CallerAnswer callerAnswer) {
+    RequestRun(
+            GatewayContext context,
+            RequestServices services,
+            RequestPlan plan,
+            CallerAnswer callerAnswer,
+            Consumer<RequestRun> onEnd) {
+        this.onEnd = onEnd;
         this.context = context;
         this.services = services;
         this.plan = plan;
@@ -102,8 +110,10 @@
             return;
         }
         stageRun = next;
-        if (!next.start()) {
+        if (next.empty()) {
             stagesDone(List.of());
+        } else {
+            services.gate().submit(next);
         }
     }
 
@@ -351,6 +361,14 @@
         ended = true;
         timer.cancel();
         releaseStages();
+        onEnd.accept(this);
+    }
+
+    /** Refuses the request if it is not with a target. */
+    void refuseUnsent() {
+        if (!ended && send == null) {
+            fail(ErrorKind.SHUTTING_DOWN, "gateway is stopping");
+        }
     }
 
     private void releaseStages() {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageOwner.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageOwner.java
@@ -80,6 +80,7 @@
         queues.forEach((server, queue) -> status.addServers(ServerBacklog.newBuilder()
                 .setServer(server)
                 .setBacklogMillis((int) queue.backlogMillis())
+                .setOnTimeBacklogMillis((int) queue.onTimeBacklogMillis())
                 .setRoomBytes(Math.max(0, queue.roomBytes()))));
         return PeerFrame.newBuilder().setStatus(status).build();
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StagePools.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StagePools.java
@@ -48,6 +48,7 @@
     private final StageOwner owner;
     private final Map<Long, Order> orders = new HashMap<>();
     private final Map<String, StageServerNotes> notes = new HashMap<>();
+    private final Map<String, Integer> committed = new HashMap<>();
     private final Map<String, StageTimes> times = new HashMap<>();
     private final Map<String, RetryBudget> budgets = new HashMap<>();
     private @Nullable PeerLinks peers;
@@ -94,10 +95,14 @@
                         .toList());
     }
 
-    private void place(String pool, List<Order> group) {
-        Optional<StagePoolSpec> spec = Optional.ofNullable(context.view().config())
+    Optional<StagePoolSpec> spec(String pool) {
+        return Optional.ofNullable(context.view().config())
                 .flatMap(config -> config.pool(pool))
                 .map(found -> found.stage());
+    }
+
+    private void place(String pool, List<Order> group) {
+        Optional<StagePoolSpec> spec = spec(pool);
         if (spec.isEmpty()) {
             failLater(group);
             return;
@@ -112,7 +117,7 @@
     private void send(String pool, StagePoolSpec spec, List<Order> group) {
         long bytes = group.stream().mapToLong(order -> order.piece.bytes()).sum();
         List<StageServerView> servers = context.view().directory().usable(pool).stream()
-                .map(target -> view(target, spec))
+                .map(target -> view(target, spec, onTime(group.get(0))))
                 .toList();
         Optional<StageServerView> choice =
                 StageRouting.choose(servers, bytes, zoneBytes(group, bytes), spareMillis(group.get(0)));
@@ -154,6 +159,46 @@
         return bytes;
     }
 
+    private boolean onTime(Order order) {
+        return order.piece.dueNanos() - context.scheduler().nanoTime() >= 0;
+    }
+
+    /** Returns the time of a call with a number of pieces, or of several calls if one does not hold them. */
+    Duration callTime(String pool, int pieces) {
+        return spec(pool)
+                .map(spec -> Duration.ofMillis((long) spec.expectedMillis(Math.min(spec.batch(), pieces))))
+                .orElse(Duration.ZERO);
+    }
+
+    /** Notes pieces that requests which have begun will need of a pool; a negative number takes them back. */
+    void commit(String pool, int pieces) {
+        committed.merge(pool, pieces, Integer::sum);
+    }
+
+    /**
+     * Returns the shortest time until a new piece of a pool would start behind what waits there and what is on its way
+     * there. Other gateways are taken to have as much on its way as this one.
+     *
+     * @param onTime whether only requests that are on time count
+     */
+    Duration backlog(String pool, boolean onTime) {
+        Optional<StagePoolSpec> spec = spec(pool);
+        List<TargetRecord> servers = context.view().directory().usable(pool);
+        if (spec.isEmpty() || servers.isEmpty()) {
+            return FAILING_TIME;
+        }
+        double shortest = servers.stream()
+                .map(target -> view(target, spec.get(), onTime))
+                .mapToDouble(server -> server.backlogMillis() + (server.failing() ? FAILING_TIME.toMillis() : 0))
+                .min()
+                .orElseThrow();
+        double pieceMillis =
+                spec.get().expectedMillis(spec.get().batch()) / spec.get().batch();
+        int gateways = context.view().sharingGateways();
+        double coming = committed.getOrDefault(pool, 0) * gateways * pieceMillis / servers.size();
+        return Duration.ofMillis((long) (shortest + coming));
+    }
+
     private double spareMillis(Order order) {
         long left = order.piece.dueNanos() - context.scheduler().nanoTime();
         return (left - usualTime(order.pool).toNanos()) / NANOS_PER_MILLI;
@@ -166,7 +211,7 @@
                 : OwnerSupport.owner(server, context.settings().node(), links.reachable());
     }
 
-    private StageServerView view(TargetRecord target, StagePoolSpec spec) {
+    private StageServerView view(TargetRecord target, StagePoolSpec spec, boolean onTime) {
         long now = context.scheduler().nanoTime();
         StageServerNotes known = notes(target.id());
         boolean failing = known.failing(now);
@@ -176,14 +221,15 @@
             return new StageServerView(
                     target.id(),
                     target.zone(),
-                    queue.map(StageServerQueue::backlogMillis).orElse(0.0),
+                    queue.map(found -> onTime ? found.onTimeBacklogMillis() : found.backlogMillis())
+                            .orElse(0.0),
                     queue.map(StageServerQueue::roomBytes).orElse(spec.roomBytes()),
                     failing);
         }
         return new StageServerView(
                 target.id(),
                 target.zone(),
-                known.backlogMillis(now, STATUS_AGE),
+                known.backlogMillis(onTime, now, STATUS_AGE),
                 known.roomBytes(now, STATUS_AGE, spec.roomBytes()),
                 failing);
     }
@@ -370,7 +416,8 @@
         } else if (frame.hasStatus()) {
             long now = context.scheduler().nanoTime();
             for (ServerBacklog server : frame.getStatus().getServersList()) {
-                notes(server.getServer()).told(server.getBacklogMillis(), server.getRoomBytes(), now);
+                notes(server.getServer())
+                        .told(server.getBacklogMillis(), server.getOnTimeBacklogMillis(), server.getRoomBytes(), now);
             }
             notes.keySet()
                     .removeIf(server -> context.view().directory().find(server).isEmpty());
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageRun.java
@@ -2,8 +2,10 @@
 
 import io.masticfold.core.forward.StageSpec;
 import io.masticfold.core.stage.StageGraph;
+import io.masticfold.core.stage.StagePath;
 import io.masticfold.core.time.Deadline;
 import io.masticfold.gateway.protocol.PieceOutcome;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -26,6 +28,7 @@
     private final StageRunListener listener;
     private final StageGraph graph;
     private final List<PendingPiece> pending = new ArrayList<>();
+    private final Map<Integer, Integer> committed = new HashMap<>();
     private final Map<Integer, List<StageResult>> results = new HashMap<>();
     private boolean ended;
 
@@ -67,13 +70,95 @@
         this.graph = new StageGraph(stages, pieces);
     }
 
-    /** Starts the stages that read no other results; returns whether there is anything to make. */
-    public boolean start() {
-        if (graph.complete()) {
-            return false;
+    /** Returns whether there is nothing to make. */
+    public boolean empty() {
+        return graph.complete();
+    }
+
+    /** Starts the stages that read no other results. */
+    void begin() {
+        if (!ended) {
+            for (int stage = 0; stage < stages.size(); stage++) {
+                commit(stage, graph.pieces(stage));
+            }
+            advance();
+        }
+    }
+
+    private void commit(int stage, int pieces) {
+        committed.merge(stage, pieces, Integer::sum);
+        pools.commit(stages.get(stage).pool(), pieces);
+    }
+
+    /** Ends a run that has not begun. */
+    void refuse() {
+        if (!ended) {
+            ended = true;
+            listener.stagesFailed(PieceOutcome.Kind.LATE);
+        }
+    }
+
+    boolean ended() {
+        return ended;
+    }
+
+    int rank() {
+        return rank;
+    }
+
+    long startedNanos() {
+        return startedNanos;
+    }
+
+    Duration toAim(long nowNanos) {
+        return Duration.ofNanos(dueNanos - nowNanos);
+    }
+
+    Deadline deadline() {
+        return deadline;
+    }
+
+    /** Returns what is known of the pools along the longest chain. */
+    StagePath path() {
+        Duration unloaded = Duration.ZERO;
+        Duration expected = Duration.ZERO;
+        Duration backlog = Duration.ZERO;
+        for (int stage = 0; stage < stages.size(); stage++) {
+            if (graph.pieces(stage) > 0) {
+                unloaded = longer(unloaded, finish(stage, false));
+                expected = longer(expected, finish(stage, true));
+                backlog = longer(backlog, wait(stage, start(stage, false), false));
+            }
         }
-        advance();
-        return true;
+        return new StagePath(unloaded, expected, backlog);
+    }
+
+    /** Returns the time from now to the end of a stage, with or without what has to be done before it. */
+    private Duration finish(int stage, boolean loaded) {
+        Duration start = start(stage, loaded);
+        Duration call = pools.callTime(stages.get(stage).pool(), graph.pieces(stage));
+        Duration end = start.plus(call);
+        return loaded ? end.plus(wait(stage, start, true)) : end;
+    }
+
+    private Duration start(int stage, boolean loaded) {
+        Duration start = Duration.ZERO;
+        for (int before : stages.get(stage).after()) {
+            if (graph.pieces(before) > 0) {
+                start = longer(start, finish(before, loaded));
+            }
+        }
+        return start;
+    }
+
+    /** Returns what is left of the backlog of a stage's pool when the request reaches it. */
+    private Duration wait(int stage, Duration start, boolean onTime) {
+        Duration left = pools.backlog(stages.get(stage).pool(), onTime).minus(start);
+        return longer(left, Duration.ZERO);
+    }
+
+    private static Duration longer(Duration one, Duration other) {
+        return one.compareTo(other) >= 0 ? one : other;
     }
 
     /** Gives up the pieces that are not made and releases every result. */
@@ -81,6 +166,7 @@
         ended = true;
         pools.cancel(pending);
         pending.clear();
+        Map.copyOf(committed).forEach((stage, pieces) -> commit(stage, -pieces));
         release();
     }
 
@@ -120,6 +206,7 @@
                 pieces.add(piece(stage, piece));
             }
             if (!pieces.isEmpty()) {
+                commit(stage, -pieces.size());
                 pending.addAll(pieces);
                 pools.submit(stages.get(stage).pool(), pieces, inputBytes(stage), readerZone);
             }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerNotes.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerNotes.java
@@ -8,6 +8,7 @@
     private static final double NANOS_PER_MILLI = 1e6;
 
     private double backlogMillis;
+    private double onTimeBacklogMillis;
     private long roomBytes;
     private long toldNanos;
     private boolean told;
@@ -16,8 +17,9 @@
     private long failingUntilNanos;
     private boolean failed;
 
-    void told(double backlog, long room, long nowNanos) {
+    void told(double backlog, double onTimeBacklog, long room, long nowNanos) {
         backlogMillis = backlog;
+        onTimeBacklogMillis = onTimeBacklog;
         roomBytes = room;
         toldNanos = nowNanos;
         told = true;
@@ -42,12 +44,12 @@
         return failed && failingUntilNanos - nowNanos > 0;
     }
 
-    double backlogMillis(long nowNanos, Duration maxAge) {
+    double backlogMillis(boolean onTime, long nowNanos, Duration maxAge) {
         double age = (nowNanos - toldNanos) / NANOS_PER_MILLI;
         if (!told || age > maxAge.toMillis()) {
             return Math.max(0, sentMillis - age);
         }
-        return Math.max(0, backlogMillis + sentMillis - age);
+        return Math.max(0, (onTime ? onTimeBacklogMillis : backlogMillis) + sentMillis - age);
     }
 
     long roomBytes(long nowNanos, Duration maxAge, long total) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerQueue.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerQueue.java
@@ -119,18 +119,26 @@
 
     /** Returns the time until a piece that is added now would start, in milliseconds. */
     double backlogMillis() {
+        return backlogMillis(waiting.size());
+    }
+
+    /** Returns the time until a piece of a request that is on time would start, in milliseconds. */
+    double onTimeBacklogMillis() {
+        long now = context.scheduler().nanoTime();
+        return backlogMillis((int)
+                waiting.stream().filter(piece -> piece.dueNanos() - now >= 0).count());
+    }
+
+    private double backlogMillis(int pieces) {
         Optional<StagePoolSpec> spec = spec();
         if (spec.isEmpty()) {
             return 0;
         }
-        double pause = account.pauseMillis();
-        return pause + account.remainingMillis() + account.slowness() * queueMillis(spec.get());
-    }
-
-    private double queueMillis(StagePoolSpec spec) {
-        int calls = waiting.size() / spec.batch();
+        int calls = pieces / spec.get().batch();
         // A call that is not full yet takes a new piece along.
-        return calls * spec.expectedMillis(spec.batch()) + waiting.size() % spec.batch() * spec.pieceMillis();
+        double queue = calls * spec.get().expectedMillis(spec.get().batch())
+                + pieces % spec.get().batch() * spec.get().pieceMillis();
+        return account.pauseMillis() + account.remainingMillis() + account.slowness() * queue;
     }
 
     long roomBytes() {
