--- a/masticfold-core/src/main/java/io/masticfold/core/telemetry/Telemetry.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/telemetry/Telemetry.java
@@ -17,6 +17,15 @@
     /** Counts an event by name, for example {@code late_outcome}. */
     default void count(String event) {}
 
+    /**
+     * Records the end of a request.
+     *
+     * @param kind kind of the request's route
+     * @param outcome how it ended, from a closed list
+     * @param elapsedNanos time since it was read, in nanoseconds
+     */
+    default void request(String kind, String outcome, long elapsedNanos) {}
+
     /**
      * Records the run of a stage.
      *
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -4,7 +4,6 @@
 import io.masticfold.core.forward.RequestLimits;
 import io.masticfold.core.retry.RetryBudget;
 import io.masticfold.core.retry.WindowRetryBudget;
-import io.masticfold.core.telemetry.Telemetry;
 import io.masticfold.core.time.Scheduler;
 import io.masticfold.core.time.TimeSource;
 import io.masticfold.gateway.context.GatewayContext;
@@ -14,6 +13,7 @@
 import io.masticfold.gateway.http.HttpClient;
 import io.masticfold.gateway.log.DecisionLog;
 import io.masticfold.gateway.log.GatewayEvent;
+import io.masticfold.gateway.log.GatewayMeters;
 import io.masticfold.gateway.peer.PeerLinks;
 import io.masticfold.gateway.protocol.GatewayAddress;
 import io.masticfold.gateway.protocol.PlatformProtocol;
@@ -31,9 +31,12 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 
 /** Runs one gateway: callers, targets and store on one event loop. */
 public final class GatewayDaemon {
@@ -61,7 +64,7 @@
 
     private static final int CONFLICT = 409;
 
-    private final GatewaySettings settings;
+    private final AtomicReference<GatewaySettings> settings;
     private final PlatformProtocol protocol;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final CountDownLatch stopped = new CountDownLatch(1);
@@ -78,16 +81,17 @@
     private final PeerLinks peers;
     private final FrontServer front;
     private final FrontServer readiness;
+    private final FrontServer metrics;
     private volatile boolean stopping;
     private boolean readyLogged;
 
     /**
      * Creates a gateway.
      *
-     * @param telemetry counters
+     * @param telemetry counters and timers, shown on the metrics page
      */
-    public GatewayDaemon(GatewaySettings settings, PlatformProtocol protocol, Telemetry telemetry) {
-        this.settings = settings;
+    public GatewayDaemon(GatewaySettings settings, PlatformProtocol protocol, GatewayMeters telemetry) {
+        this.settings = new AtomicReference<>(settings);
         this.protocol = protocol;
         TimeSource time = TimeSource.system();
         EventLoop loop = group.next();
@@ -96,7 +100,7 @@
         this.log = new DecisionLog(time, telemetry);
         this.store = new ObjectStoreClient(client, scheduler, settings.store());
         this.watch = new PlatformWatch(store, protocol.store(), scheduler, view, log);
-        GatewayContext context = new GatewayContext(settings, protocol, client, scheduler, view, log, telemetry);
+        GatewayContext context = new GatewayContext(this.settings, protocol, client, scheduler, view, log, telemetry);
         this.knowledge = new PeerKnowledge(watch, scheduler, log);
         this.stages = new StagePools(context, _name -> retryBudget());
         this.gate = new StageGate(context);
@@ -120,14 +124,33 @@
                 () -> RequestLimits.DEFAULT,
                 new ReadinessHandler(protocol.readinessPath(), this::ready),
                 _reason -> telemetry.count("bad_probe"));
+        this.metrics = metricsServer(time, telemetry);
+    }
+
+    private FrontServer metricsServer(TimeSource time, GatewayMeters meters) {
+        meters.gauge("masticfold.targets.known", () -> view.directory().size());
+        meters.gauge("masticfold.peers.reachable", () -> peers.reachable().size());
+        meters.gauge("masticfold.requests.waiting", gate::waiting);
+        meters.gauge("masticfold.callers.connections", front::connections);
+        meters.gauge("masticfold.connections.opened", client::opened);
+        meters.gauge("masticfold.store.reachable", () -> watch.storeReachable() ? 1 : 0);
+        meters.gauge("masticfold.configuration.version", () -> Optional.ofNullable(view.config())
+                .map(ForwardConfig::version)
+                .orElse(0L));
+        return new FrontServer(
+                group,
+                time,
+                () -> RequestLimits.DEFAULT,
+                new MetricsHandler(meters::page),
+                _reason -> meters.count("bad_metrics_request"));
     }
 
     private RetryBudget retryBudget() {
         return new WindowRetryBudget(
                 scheduler,
-                settings.retryWindow(),
-                settings.retryRatio(),
-                () -> settings.retryExtra() / view.sharingGateways());
+                settings.get().retryWindow(),
+                settings.get().retryRatio(),
+                () -> settings.get().retryExtra() / view.sharingGateways());
     }
 
     private RequestLimits limits() {
@@ -140,9 +163,13 @@
      * @throws InterruptedException if interrupted while binding
      */
     public void start() throws InterruptedException {
-        readiness.start(settings.readiness());
-        front.start(settings.listen());
-        peers.start(settings.peer());
+        GatewaySettings started = settings.get();
+        readiness.start(started.readiness());
+        if (started.metricsPort() > 0) {
+            metrics.start(new InetSocketAddress(started.listen().getAddress(), started.metricsPort()));
+        }
+        front.start(settings.get().listen());
+        peers.start(settings.get().peer());
         EventLoop loop = group.next();
         loop.execute(() -> {
             watch.start();
@@ -151,8 +178,8 @@
             register();
             closeIdle();
             log.failure(GatewayEvent.STARTED)
-                    .addKeyValue("node", settings.node())
-                    .addKeyValue("zone", settings.zone())
+                    .addKeyValue("node", settings.get().node())
+                    .addKeyValue("zone", settings.get().zone())
                     .log();
         });
     }
@@ -163,10 +190,11 @@
     }
 
     private void register() {
-        GatewayAddress own = new GatewayAddress(settings.node(), settings.zone(), settings.peer());
+        GatewayAddress own = new GatewayAddress(
+                settings.get().node(), settings.get().zone(), settings.get().peer());
         store.create(
                 protocol.store().createUri(StoreKind.GATEWAYS),
-                protocol.store().encodeGateway(settings.node(), own),
+                protocol.store().encodeGateway(settings.get().node(), own),
                 REGISTER_TIMEOUT,
                 result -> {
                     boolean exists = result instanceof CallResult.Answered answered
@@ -177,6 +205,26 @@
                 });
     }
 
+    /**
+     * Puts changed settings in force. Addresses and names are those of the start; a change of them is only logged.
+     *
+     * @param next the changed settings
+     */
+    public void reload(GatewaySettings next) {
+        GatewaySettings before = settings.getAndSet(next);
+        boolean restartNeeded = !before.sameProcess(next);
+        log.failure(GatewayEvent.SETTINGS_RELOADED)
+                .addKeyValue("restartNeeded", restartNeeded)
+                .log();
+    }
+
+    /** Logs that changed settings cannot be used. */
+    public void reloadFailed(String problem) {
+        log.failure(GatewayEvent.SETTINGS_REFUSED)
+                .addKeyValue("problem", problem)
+                .log();
+    }
+
     /** Returns whether this gateway wants new connections. */
     public boolean ready() {
         boolean ready = !stopping && watch.complete();
@@ -198,12 +246,13 @@
                     .addKeyValue("connections", front.connections())
                     .log();
             front.drain();
+            gate.refuseAll();
             scheduler.schedule(STOP_ACCEPTING_AFTER, () -> {
                 front.stopAccepting();
                 awaitIdle();
             });
-            scheduler.schedule(settings.grace().minus(REFUSE_BEFORE_KILL), handler::refuseUnsent);
-            scheduler.schedule(settings.grace().minus(END_BEFORE_KILL), this::end);
+            scheduler.schedule(settings.get().grace().minus(REFUSE_BEFORE_KILL), handler::refuseUnsent);
+            scheduler.schedule(settings.get().grace().minus(END_BEFORE_KILL), this::end);
         });
     }
 
@@ -232,8 +281,19 @@
         stopped.await();
     }
 
+    /** Returns the number of other gateways that can be reached. */
+    public int reachablePeers() {
+        return peers.reachable().size();
+    }
+
+    /** Ends at once, without waiting for requests. */
+    public void close() {
+        stopping = true;
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
     /** Returns the settings in force. */
     public GatewaySettings settings() {
-        return settings;
+        return settings.get();
     }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/context/GatewayContext.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/context/GatewayContext.java
@@ -7,11 +7,12 @@
 import io.masticfold.gateway.protocol.PlatformProtocol;
 import io.masticfold.gateway.settings.GatewaySettings;
 import io.masticfold.gateway.store.PlatformView;
+import java.util.concurrent.atomic.AtomicReference;
 
 /**
  * Holds what every part of the request path uses.
  *
- * @param settings settings of this gateway
+ * @param settingsInForce settings of this gateway, replaced as a whole when they change
  * @param protocol names, formats and calls of the platform
  * @param client sends requests to servers
  * @param scheduler time and timers of the event loop
@@ -20,10 +21,16 @@
  * @param telemetry counters
  */
 public record GatewayContext(
-        GatewaySettings settings,
+        AtomicReference<GatewaySettings> settingsInForce,
         PlatformProtocol protocol,
         HttpClient client,
         Scheduler scheduler,
         PlatformView view,
         DecisionLog log,
-        Telemetry telemetry) {}
+        Telemetry telemetry) {
+
+    /** Returns the settings in force. */
+    public GatewaySettings settings() {
+        return settingsInForce.get();
+    }
+}
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
@@ -30,6 +30,9 @@
 /** Routes the requests of callers and starts their runs. Used by one thread. */
 public final class ForwardHandler implements RequestHandler {
 
+    /** Age from which on a configuration may lack routes and keys that are in force; two watches fit into it. */
+    private static final Duration STALE = Duration.ofSeconds(4);
+
     /** Ranks of routes within one rank of a workspace. */
     private static final int ROUTE_RANKS = 3;
 
@@ -53,11 +56,12 @@
         }
         Optional<ForwardRoute> route = config.route(host(request), request.path());
         if (route.isEmpty()) {
-            return refuse(request, metadata, answer, ErrorKind.UNKNOWN_PIPELINE, "no route of " + request.uri());
+            return refuse(
+                    request, metadata, answer, unlessStale(ErrorKind.UNKNOWN_PIPELINE), "no route of " + request.uri());
         }
         Optional<WorkspaceSpec> workspace = config.workspace(metadata.key());
         if (config.needsKey() && !route.get().open() && workspace.isEmpty()) {
-            return refuse(request, metadata, answer, ErrorKind.UNAUTHENTICATED, "unknown key");
+            return refuse(request, metadata, answer, unlessStale(ErrorKind.UNAUTHENTICATED), "unknown key");
         }
         if (metadata.attemptId().isEmpty() || metadata.deadlineMillis() < 0) {
             return refuse(request, metadata, answer, ErrorKind.MALFORMED_REQUEST, "id or deadline is missing");
@@ -72,6 +76,12 @@
         return run;
     }
 
+    /** Returns a final refusal only if the configuration that gives the reason is known to be recent. */
+    private ErrorKind unlessStale(ErrorKind kind) {
+        Duration age = context.view().configAge(context.scheduler().nanoTime());
+        return age.compareTo(STALE) > 0 ? ErrorKind.NO_CONFIGURATION : kind;
+    }
+
     /** Refuses every request that has not been sent to a target, since this gateway is about to end. */
     public void refuseUnsent() {
         List.copyOf(active).forEach(RequestRun::refuseUnsent);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -23,6 +23,7 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -379,6 +380,11 @@
     }
 
     private void report(GatewayEvent event, String outcome, String detail) {
+        context.telemetry()
+                .request(
+                        plan.route().kind().name().toLowerCase(Locale.ROOT),
+                        outcome,
+                        context.scheduler().nanoTime() - plan.request().receivedNanos());
         boolean routine = event == GatewayEvent.REQUEST_ANSWERED;
         (routine ? context.log().routine(event) : context.log().failure(event))
                 .addKeyValue("request", plan.metadata().attemptId())
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/settings/GatewaySettings.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/settings/GatewaySettings.java
@@ -50,4 +50,15 @@
             throw new IllegalArgumentException("retryRatio must not be negative: " + retryRatio + ", " + retryExtra);
         }
     }
+
+    /** Returns whether other settings can be put in force without a restart. */
+    public boolean sameProcess(GatewaySettings other) {
+        return node.equals(other.node)
+                && zone.equals(other.zone)
+                && listen.equals(other.listen)
+                && readiness.equals(other.readiness)
+                && peer.equals(other.peer)
+                && store.equals(other.store)
+                && metricsPort == other.metricsPort;
+    }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageGate.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageGate.java
@@ -49,6 +49,13 @@
         }
     }
 
+    /** Refuses every request that waits, since this gateway stops. */
+    public void refuseAll() {
+        List<StageRun> refused = List.copyOf(waiting);
+        waiting.clear();
+        refused.forEach(StageRun::refuse);
+    }
+
     /** Returns the number of requests that wait. */
     public int waiting() {
         return waiting.size();
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StagePools.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StagePools.java
@@ -87,7 +87,7 @@
      */
     void submit(String pool, List<PendingPiece> pieces, Map<String, Long> inputBytes, @Nullable String readerZone) {
         RetryBudget budget = budget(pool);
-        pieces.forEach(piece -> budget.earn());
+        pieces.forEach(_piece -> budget.earn());
         place(
                 pool,
                 pieces.stream()
@@ -223,7 +223,7 @@
                     target.zone(),
                     queue.map(found -> onTime ? found.onTimeBacklogMillis() : found.backlogMillis())
                             .orElse(0.0),
-                    queue.map(StageServerQueue::roomBytes).orElse(spec.roomBytes()),
+                    queue.map(StageServerQueue::roomBytes).orElseGet(spec::roomBytes),
                     failing);
         }
         return new StageServerView(
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerQueue.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerQueue.java
@@ -46,6 +46,8 @@
     /** Time beyond the longest expected call after which a server counts as silent. */
     private static final long SILENCE_MILLIS = 600;
 
+    private static final double NANOS_PER_MILLI = 1e6;
+
     private final GatewayContext context;
     private final String pool;
     private final TargetRecord server;
@@ -246,6 +248,7 @@
         if (problem.isEmpty()) {
             fullAnswers = 0;
             account.measured(expectedMillis);
+            context.telemetry().stage(pool, batch.size(), (long) (account.callMillis() * NANOS_PER_MILLI));
             context.log()
                     .routine(GatewayEvent.STAGE_CALLED)
                     .addKeyValue("pool", pool)
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformView.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformView.java
@@ -3,7 +3,9 @@
 import io.masticfold.core.forward.ForwardConfig;
 import io.masticfold.core.target.TargetDirectory;
 import io.masticfold.gateway.protocol.GatewayAddress;
+import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.jspecify.annotations.Nullable;
 
@@ -13,6 +15,8 @@
     private final AtomicReference<@Nullable ForwardConfig> config = new AtomicReference<>();
     private static final int LEAST_SHARING = 4;
 
+    private final AtomicLong confirmedNanos = new AtomicLong();
+
     private final AtomicReference<List<GatewayAddress>> gateways = new AtomicReference<>(List.of());
     private final AtomicReference<TargetDirectory> directory = new AtomicReference<>(TargetDirectory.EMPTY);
 
@@ -21,6 +25,16 @@
         return config.get();
     }
 
+    /** Notes that the store confirmed the configuration at a time. */
+    public void confirmed(long nowNanos) {
+        confirmedNanos.set(nowNanos);
+    }
+
+    /** Returns the time since the store last confirmed the configuration. */
+    public Duration configAge(long nowNanos) {
+        return Duration.ofNanos(nowNanos - confirmedNanos.get());
+    }
+
     /** Returns the targets. */
     public TargetDirectory directory() {
         return directory.get();
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatch.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatch.java
@@ -72,6 +72,11 @@
         return view.config() != null && targetsListed && zonesListed;
     }
 
+    /** Returns whether the last call to the store succeeded. */
+    public boolean storeReachable() {
+        return !storeLost;
+    }
+
     /** Returns the watchers of all kinds. */
     List<KindWatcher> watchers() {
         return watchers;
@@ -121,6 +126,12 @@
     /** Puts newer configurations in force. */
     private final class Configurations extends StoreState {
 
+        @Override
+        public void answered() {
+            super.answered();
+            view.confirmed(scheduler.nanoTime());
+        }
+
         @Override
         public void listed(List<StoreObject> objects, long revision) {
             changed(objects, revision);
