Allow for the results of a former owner; hand queues over when stopping; log faults of tasks

Change: a status says that its sender stops, and peers stop ordering from it; after an answer without room the owner counts the room it believed in as taken, less and less over a second.

--- a/masticfold-cli/src/main/java/io/masticfold/cli/Masticfold.java
+++ b/masticfold-cli/src/main/java/io/masticfold/cli/Masticfold.java
@@ -10,6 +10,7 @@
 import io.masticfold.cli.daemon.AgentCommand;
 import io.masticfold.cli.daemon.EntryCommand;
 import io.masticfold.cli.dev.DevCommand;
+import io.masticfold.cli.explain.ExplainCommand;
 import io.masticfold.cli.operate.StatusCommand;
 import io.masticfold.cli.operate.TargetCommand;
 import io.masticfold.cli.operate.ZoneCommand;
@@ -43,6 +44,7 @@
             new ZoneCommand(),
             new TargetCommand(),
             new StatusCommand(),
+            new ExplainCommand(),
             new BenchCommand(),
             new VersionCommand());
 
--- a/masticfold-cli/src/test/java/io/masticfold/cli/EventCatalogueTests.java
+++ b/masticfold-cli/src/test/java/io/masticfold/cli/EventCatalogueTests.java
@@ -6,6 +6,7 @@
 import io.masticfold.core.telemetry.CoreEvent;
 import io.masticfold.core.telemetry.LogEvent;
 import io.masticfold.entry.EntryEvent;
+import io.masticfold.gateway.log.GatewayEvent;
 import io.masticfold.platform.event.PlatformEvent;
 import io.masticfold.testkit.http.TestkitEvent;
 import io.masticfold.wire.WireEvent;
@@ -45,6 +46,7 @@
                         PlatformEvent.values(),
                         AgentEvent.values(),
                         EntryEvent.values(),
+                        GatewayEvent.values(),
                         TestkitEvent.values())
                 .flatMap(Arrays::stream);
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -247,6 +247,7 @@
                     .log();
             front.drain();
             gate.refuseAll();
+            stages.drain();
             scheduler.schedule(STOP_ACCEPTING_AFTER, () -> {
                 front.stopAccepting();
                 awaitIdle();
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/FrontConnection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/FrontConnection.java
@@ -2,6 +2,7 @@
 
 import io.masticfold.core.forward.RequestLimits;
 import io.masticfold.core.time.TimeSource;
+import io.masticfold.gateway.log.GatewayEvent;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
@@ -25,12 +26,15 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Reads the requests of one connection one after the other and writes their answers in order. */
 final class FrontConnection extends ChannelInboundHandlerAdapter {
@@ -38,6 +42,8 @@
     /** Most requests that wait behind one that is being answered. */
     static final int MAX_PIPELINED = 16;
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(FrontConnection.class);
+
     private final FrontServer server;
     private final TimeSource time;
     private final Deque<CallerRequest> waiting = new ArrayDeque<>();
@@ -276,7 +282,14 @@
     }
 
     @Override
-    public void exceptionCaught(ChannelHandlerContext failed, Throwable _cause) {
+    public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            LOGGER.error(
+                    "MF{} {}",
+                    GatewayEvent.CONNECTION_FAILED.number(),
+                    GatewayEvent.CONNECTION_FAILED.template(),
+                    cause);
+        }
         failed.close();
     }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
@@ -34,7 +34,9 @@
     HANDLER_FAILED(6030, Level.ERROR, "a request failed by a fault of the gateway"),
     STAGE_CALLED(6031, Level.INFO, "a stage server made pieces"),
     STAGE_PIECE_FAILED(6032, Level.INFO, "a piece of stage work was not made"),
-    PEER_REFUSED(6033, Level.ERROR, "state told by a peer cannot be read");
+    PEER_REFUSED(6033, Level.ERROR, "state told by a peer cannot be read"),
+    TASK_FAILED(6034, Level.ERROR, "a task of the event loop failed by a fault of the gateway"),
+    CONNECTION_FAILED(6035, Level.ERROR, "a caller's connection failed by a fault of the gateway");
 
     private final int number;
     private final Level level;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/PeerLink.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/PeerLink.java
@@ -23,6 +23,7 @@
     private @Nullable Channel channel;
     private boolean connecting;
     private boolean up;
+    private boolean draining;
     private long heardNanos;
     private long nextTryNanos;
     private int failures;
@@ -46,6 +47,10 @@
         return up;
     }
 
+    boolean draining() {
+        return draining;
+    }
+
     boolean due(long nowNanos) {
         return channel == null && !connecting && nowNanos - nextTryNanos >= 0;
     }
@@ -121,6 +126,9 @@
             heardNanos = owner.nowNanos();
             failures = 0;
             up = true;
+            if (frame.hasStatus()) {
+                draining = frame.getStatus().getDraining();
+            }
             owner.listener().answered(peer, frame);
         }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/PeerLinks.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/PeerLinks.java
@@ -137,9 +137,12 @@
         });
     }
 
-    /** Returns the names of the peers that can be reached, without seeds whose name is not known. */
+    /** Returns the names of the peers that can take orders: reachable, not stopping, and known by name. */
     public List<String> reachable() {
-        return connected().stream().filter(peer -> !peer.startsWith(SEED)).toList();
+        return links.values().stream()
+                .filter(link -> link.up() && !link.draining() && !link.peer().startsWith(SEED))
+                .map(PeerLink::peer)
+                .toList();
     }
 
     /** Returns the names of all connected peers, seeds included. */
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/Peer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/Peer.java
@@ -136,21 +136,22 @@
       "er\030\001 \001(\004\";\n\013PieceCancel\022\014\n\004pool\030\001 \001(\t\022\016\n" +
       "\006server\030\002 \001(\t\022\016\n\006orders\030\003 \003(\004\"N\n\rResultR" +
       "elease\022\014\n\004pool\030\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\017\n\007" +
-      "handles\030\003 \003(\t\022\016\n\006needed\030\004 \001(\010\"@\n\nPeerSta" +
+      "handles\030\003 \003(\t\022\016\n\006needed\030\004 \001(\010\"R\n\nPeerSta" +
       "tus\0222\n\007servers\030\001 \003(\0132!.masticfold.gatewa" +
-      "y.ServerBacklog\"k\n\rServerBacklog\022\016\n\006serv" +
-      "er\030\001 \001(\t\022\026\n\016backlog_millis\030\002 \001(\r\022\022\n\nroom" +
-      "_bytes\030\003 \001(\004\022\036\n\026on_time_backlog_millis\030\004" +
-      " \001(\r\"H\n\020KnowledgeRequest\0224\n\trevisions\030\001 " +
-      "\003(\0132!.masticfold.gateway.KnownRevision\"/" +
-      "\n\rKnownRevision\022\014\n\004kind\030\001 \001(\r\022\020\n\010revisio" +
-      "n\030\002 \001(\004\"9\n\tKnowledge\022,\n\005kinds\030\001 \003(\0132\035.ma" +
-      "sticfold.gateway.KnownKind\"]\n\tKnownKind\022" +
-      "\014\n\004kind\030\001 \001(\r\022\020\n\010revision\030\002 \001(\004\0220\n\007objec" +
-      "ts\030\003 \003(\0132\037.masticfold.gateway.KnownObjec" +
-      "t\">\n\013KnownObject\022\014\n\004name\030\001 \001(\t\022\020\n\010revisi" +
-      "on\030\002 \001(\004\022\017\n\007content\030\003 \001(\014B&\n io.masticfo" +
-      "ld.gateway.peer.protoH\001P\001b\006proto3"
+      "y.ServerBacklog\022\020\n\010draining\030\002 \001(\010\"k\n\rSer" +
+      "verBacklog\022\016\n\006server\030\001 \001(\t\022\026\n\016backlog_mi" +
+      "llis\030\002 \001(\r\022\022\n\nroom_bytes\030\003 \001(\004\022\036\n\026on_tim" +
+      "e_backlog_millis\030\004 \001(\r\"H\n\020KnowledgeReque" +
+      "st\0224\n\trevisions\030\001 \003(\0132!.masticfold.gatew" +
+      "ay.KnownRevision\"/\n\rKnownRevision\022\014\n\004kin" +
+      "d\030\001 \001(\r\022\020\n\010revision\030\002 \001(\004\"9\n\tKnowledge\022," +
+      "\n\005kinds\030\001 \003(\0132\035.masticfold.gateway.Known" +
+      "Kind\"]\n\tKnownKind\022\014\n\004kind\030\001 \001(\r\022\020\n\010revis" +
+      "ion\030\002 \001(\004\0220\n\007objects\030\003 \003(\0132\037.masticfold." +
+      "gateway.KnownObject\">\n\013KnownObject\022\014\n\004na" +
+      "me\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\017\n\007content\030\003 " +
+      "\001(\014B&\n io.masticfold.gateway.peer.protoH" +
+      "\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -209,7 +210,7 @@
     internal_static_masticfold_gateway_PeerStatus_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_PeerStatus_descriptor,
-        new java.lang.String[] { "Servers", });
+        new java.lang.String[] { "Servers", "Draining", });
     internal_static_masticfold_gateway_ServerBacklog_descriptor =
       getDescriptor().getMessageType(9);
     internal_static_masticfold_gateway_ServerBacklog_fieldAccessorTable = new
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerStatus.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerStatus.java
@@ -94,6 +94,21 @@
     return servers_.get(index);
   }
 
+  public static final int DRAINING_FIELD_NUMBER = 2;
+  private boolean draining_ = false;
+  /**
+   * <pre>
+   * The sender stops; it takes no more orders than those under way.
+   * </pre>
+   *
+   * <code>bool draining = 2;</code>
+   * @return The draining.
+   */
+  @java.lang.Override
+  public boolean getDraining() {
+    return draining_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -111,6 +126,9 @@
     for (int i = 0; i < servers_.size(); i++) {
       output.writeMessage(1, servers_.get(i));
     }
+    if (draining_ != false) {
+      output.writeBool(2, draining_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -124,6 +142,10 @@
           }
           size += 1 * count;
         }
+    if (draining_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(2, draining_);
+    }
     return size;
   }
   @java.lang.Override
@@ -150,6 +172,8 @@
 
     if (!getServersList()
         .equals(other.getServersList())) return false;
+    if (getDraining()
+        != other.getDraining()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -165,6 +189,9 @@
       hash = (37 * hash) + SERVERS_FIELD_NUMBER;
       hash = (53 * hash) + getServersList().hashCode();
     }
+    hash = (37 * hash) + DRAINING_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getDraining());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -307,6 +334,7 @@
         serversBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000001);
+      draining_ = false;
       return this;
     }
 
@@ -353,6 +381,9 @@
 
     private void buildPartial0(io.masticfold.gateway.peer.proto.PeerStatus result) {
       int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.draining_ = draining_;
+      }
     }
 
     @java.lang.Override
@@ -393,6 +424,9 @@
           }
         }
       }
+      if (other.getDraining() != false) {
+        setDraining(other.getDraining());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -430,6 +464,11 @@
               }
               break;
             } // case 10
+            case 16: {
+              draining_ = input.readBool();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 16
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -681,6 +720,50 @@
       return serversBuilder_;
     }
 
+    private boolean draining_ ;
+    /**
+     * <pre>
+     * The sender stops; it takes no more orders than those under way.
+     * </pre>
+     *
+     * <code>bool draining = 2;</code>
+     * @return The draining.
+     */
+    @java.lang.Override
+    public boolean getDraining() {
+      return draining_;
+    }
+    /**
+     * <pre>
+     * The sender stops; it takes no more orders than those under way.
+     * </pre>
+     *
+     * <code>bool draining = 2;</code>
+     * @param value The draining to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDraining(boolean value) {
+
+      draining_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender stops; it takes no more orders than those under way.
+     * </pre>
+     *
+     * <code>bool draining = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDraining() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      draining_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:masticfold.gateway.PeerStatus)
   }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerStatusOrBuilder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerStatusOrBuilder.java
@@ -33,4 +33,14 @@
    */
   io.masticfold.gateway.peer.proto.ServerBacklogOrBuilder getServersOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The sender stops; it takes no more orders than those under way.
+   * </pre>
+   *
+   * <code>bool draining = 2;</code>
+   * @return The draining.
+   */
+  boolean getDraining();
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
@@ -50,6 +50,19 @@
     @Override
     public CallerListener handle(CallerRequest request, CallerAnswer answer) {
         CallerMetadata metadata = context.protocol().decodeCaller(request.headers());
+        try {
+            return route(request, metadata, answer);
+        } catch (RuntimeException e) {
+            context.log()
+                    .failure(GatewayEvent.HANDLER_FAILED)
+                    .addKeyValue("request", metadata.attemptId())
+                    .setCause(e)
+                    .log();
+            return refuse(request, metadata, answer, ErrorKind.INTERNAL, "fault of the gateway");
+        }
+    }
+
+    private CallerListener route(CallerRequest request, CallerMetadata metadata, CallerAnswer answer) {
         ForwardConfig config = context.view().config();
         if (config == null) {
             return refuse(request, metadata, answer, ErrorKind.NO_CONFIGURATION, "no configuration is known");
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageOwner.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageOwner.java
@@ -73,10 +73,14 @@
         return Optional.of(fresh);
     }
 
-    /** Returns the state of the queues for the peers. */
-    PeerFrame status() {
+    /**
+     * Returns the state of the queues for the peers.
+     *
+     * @param draining whether this gateway stops
+     */
+    PeerFrame status(boolean draining) {
         queues.entrySet().removeIf(entry -> gone(entry.getKey(), entry.getValue()));
-        PeerStatus.Builder status = PeerStatus.newBuilder();
+        PeerStatus.Builder status = PeerStatus.newBuilder().setDraining(draining);
         queues.forEach((server, queue) -> status.addServers(ServerBacklog.newBuilder()
                 .setServer(server)
                 .setBacklogMillis((int) queue.backlogMillis())
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StagePools.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StagePools.java
@@ -53,6 +53,7 @@
     private final Map<String, RetryBudget> budgets = new HashMap<>();
     private @Nullable PeerLinks peers;
     private long lastOrder;
+    private boolean draining;
 
     /**
      * Creates the pools.
@@ -74,11 +75,20 @@
     private void tellStatus() {
         PeerLinks links = peers;
         if (links != null) {
-            links.broadcast(owner.status());
+            links.broadcast(owner.status(draining));
         }
         context.scheduler().schedule(PeerLinks.STATUS_INTERVAL, this::tellStatus);
     }
 
+    /** Gives the stage servers to the other gateways, since this one stops. */
+    public void drain() {
+        draining = true;
+        PeerLinks links = peers;
+        if (links != null) {
+            links.broadcast(owner.status(true));
+        }
+    }
+
     /**
      * Starts the pieces of one stage of a request.
      *
@@ -206,9 +216,10 @@
 
     private String owner(String server) {
         PeerLinks links = peers;
-        return links == null
-                ? context.settings().node()
-                : OwnerSupport.owner(server, context.settings().node(), links.reachable());
+        List<String> reachable = links == null ? List.of() : links.reachable();
+        return draining && !reachable.isEmpty()
+                ? OwnerSupport.owner(server, reachable.get(0), reachable)
+                : OwnerSupport.owner(server, context.settings().node(), reachable);
     }
 
     private StageServerView view(TargetRecord target, StagePoolSpec spec, boolean onTime) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerAccount.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerAccount.java
@@ -18,6 +18,9 @@
     /** Time for a call that releases results. */
     static final Duration RELEASE_TIMEOUT = Duration.ofSeconds(1);
 
+    /** Time within which the results of a former owner go: about that of a request from its last stage to its end. */
+    static final Duration FOREIGN_TIME = Duration.ofMillis(1000);
+
     /** Weight of the newest call in the measured slowness. */
     private static final double SLOWNESS_WEIGHT = 0.3;
 
@@ -35,6 +38,8 @@
     private boolean releaseArmed;
     private long keptBytes;
     private long callBytes;
+    private long foreignBytes;
+    private long foreignNanos;
     private long callStartedNanos;
     private double callExpectedMillis;
     private long pausedUntilNanos;
@@ -83,7 +88,24 @@
 
     long roomBytes(long total) {
         expire();
-        return total - keptBytes - callBytes;
+        return total - keptBytes - callBytes - foreignBytes();
+    }
+
+    /**
+     * Notes that the server had no room where this account shows some. Results of a former owner of the queue take it;
+     * they go as their requests end, so the estimate decreases with time.
+     */
+    void noRoom(long total) {
+        long room = roomBytes(total);
+        if (room > 0) {
+            foreignBytes = foreignBytes() + room;
+            foreignNanos = time.nanoTime();
+        }
+    }
+
+    private long foreignBytes() {
+        double left = 1 - (time.nanoTime() - foreignNanos) / (double) FOREIGN_TIME.toNanos();
+        return left <= 0 ? 0 : (long) (foreignBytes * left);
     }
 
     void keep(String handle, long bytes, Duration keepTime) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerQueue.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerQueue.java
@@ -322,6 +322,7 @@
             }
             case NO_ROOM -> {
                 // Results that this gateway does not know of take room; they go within their keep time.
+                account.noRoom(spec.roomBytes());
                 account.pause(ROOM_PAUSE);
                 waiting.add(piece);
             }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/KindWatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/KindWatcher.java
@@ -20,7 +20,7 @@
 final class KindWatcher {
 
     /** Time the store may hold a watch open; short, so that a store that fell silent is noticed soon. */
-    static final Duration WATCH_WAIT = Duration.ofMillis(1500);
+    static final Duration WATCH_WAIT = Duration.ofMillis(2500);
 
     /** Time for the answer beyond the wait. */
     static final Duration ANSWER_TIMEOUT = Duration.ofMillis(700);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatch.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatch.java
@@ -26,7 +26,7 @@
     private static final Duration SHORT_PAUSE = Duration.ofMillis(20);
 
     /** Pause between two watches of the targets, which write often; their changes are taken together. */
-    private static final Duration TARGETS_PAUSE = Duration.ofMillis(300);
+    private static final Duration TARGETS_PAUSE = Duration.ofMillis(700);
 
     /** Pause between two watches of the gateways. */
     private static final Duration GATEWAYS_PAUSE = Duration.ofMillis(1000);
