--- a/masticfold-core/src/main/java/io/masticfold/core/placement/EnginePlacement.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/placement/EnginePlacement.java
@@ -1,7 +1,7 @@
 package io.masticfold.core.placement;
 
+import io.masticfold.core.directory.TargetRecord;
 import io.masticfold.core.routing.RendezvousSupport;
-import io.masticfold.core.target.TargetRecord;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
--- a/masticfold-core/src/main/java/io/masticfold/core/placement/TargetLoadView.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/placement/TargetLoadView.java
@@ -1,6 +1,6 @@
 package io.masticfold.core.placement;
 
-import io.masticfold.core.target.TargetRecord;
+import io.masticfold.core.directory.TargetRecord;
 
 /**
  * Holds what one gateway knows of a target when it places a request.
--- /dev/null
+++ b/masticfold-core/src/test/java/io/masticfold/core/directory/TargetTableTests.java
@@ -0,0 +1,93 @@
+package io.masticfold.core.directory;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.masticfold.core.time.ManualScheduler;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against work for targets that leave, and against a store outage that empties every pool. */
+final class TargetTableTests {
+
+    private final ManualScheduler time = new ManualScheduler();
+    private final TargetTable table = new TargetTable(time);
+
+    private static TargetRecord target(String id, boolean leaving, long born) {
+        return new TargetRecord(id, "pool", new InetSocketAddress("127.0.0.1", 80), "z1", leaving, 0, 4, born);
+    }
+
+    private List<String> usable() {
+        return table.snapshot().usable("pool").stream().map(TargetRecord::id).toList();
+    }
+
+    @Test
+    void aLeavingTargetGetsNoNewWork() {
+        table.put(target("a", false, 1));
+        table.put(target("b", true, 1));
+
+        assertThat(usable()).containsExactly("a");
+        assertThat(table.snapshot().find("b")).isPresent();
+    }
+
+    @Test
+    void aZoneThatIsOutGetsNoNewWork() {
+        table.put(target("a", false, 1));
+        table.zonesOut(Set.of("z1"));
+
+        assertThat(usable()).isEmpty();
+        table.zonesOut(Set.of());
+        assertThat(usable()).containsExactly("a");
+    }
+
+    @Test
+    void aRemovedTargetIsGoneAtOnceWhileTheDirectoryAnswers() {
+        table.put(target("a", false, 1));
+        table.directoryAnswered();
+
+        table.remove("a");
+
+        assertThat(usable()).isEmpty();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1000, false", "4000, true"})
+    void entriesThatLapsedInAnOutageAreKeptUntilTheyCanBeBack(long outageMillis, boolean kept) {
+        table.put(target("a", false, 1));
+        table.directoryFailed();
+        time.advance(Duration.ofMillis(outageMillis));
+        table.directoryAnswered();
+
+        table.replaceAll(List.of());
+
+        assertThat(usable().contains("a")).isEqualTo(kept);
+        time.advance(TargetTable.RETURN_GRACE.plusMillis(1));
+        table.expire();
+        assertThat(usable()).isEmpty();
+    }
+
+    @Test
+    void anEntryThatIsBackStays() {
+        table.put(target("a", false, 1));
+        table.directoryFailed();
+        time.advance(Duration.ofSeconds(4));
+        table.directoryAnswered();
+        table.replaceAll(List.of());
+
+        table.put(target("a", false, 1));
+        time.advance(TargetTable.RETURN_GRACE.plusMillis(1));
+
+        assertThat(table.expire()).isFalse();
+        assertThat(usable()).containsExactly("a");
+    }
+
+    @Test
+    void aNewIncarnationUnderTheSameIdIsAnotherTarget() {
+        assertThat(target("a", false, 1).sameIncarnation(target("a", true, 1))).isTrue();
+        assertThat(target("a", false, 1).sameIncarnation(target("a", false, 2))).isFalse();
+    }
+}
--- a/masticfold-core/src/test/java/io/masticfold/core/placement/EnginePlacementTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/placement/EnginePlacementTests.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.masticfold.core.target.TargetRecord;
+import io.masticfold.core.directory.TargetRecord;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StoreDialect.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StoreDialect.java
@@ -1,8 +1,8 @@
 package io.masticfold.gateway.protocol;
 
+import io.masticfold.core.directory.TargetRecord;
 import io.masticfold.core.error.MasticfoldException;
 import io.masticfold.core.forward.ForwardConfig;
-import io.masticfold.core.target.TargetRecord;
 import java.time.Duration;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetPool.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetPool.java
@@ -1,12 +1,12 @@
 package io.masticfold.gateway.request;
 
+import io.masticfold.core.directory.TargetRecord;
 import io.masticfold.core.forward.PoolSpec;
 import io.masticfold.core.placement.EnginePlacement;
 import io.masticfold.core.placement.LeastLoadedPlacement;
 import io.masticfold.core.placement.PromptKey;
 import io.masticfold.core.placement.TargetLoadView;
 import io.masticfold.core.retry.RetryBudget;
-import io.masticfold.core.target.TargetRecord;
 import io.masticfold.gateway.context.GatewayContext;
 import java.util.HashMap;
 import java.util.List;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetRequests.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetRequests.java
@@ -1,7 +1,7 @@
 package io.masticfold.gateway.request;
 
+import io.masticfold.core.directory.TargetRecord;
 import io.masticfold.core.stream.StreamEvent;
-import io.masticfold.core.target.TargetRecord;
 import io.masticfold.gateway.protocol.HeaderNames;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetState.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetState.java
@@ -1,7 +1,7 @@
 package io.masticfold.gateway.request;
 
+import io.masticfold.core.directory.TargetRecord;
 import io.masticfold.core.placement.TargetLoadView;
-import io.masticfold.core.target.TargetRecord;
 import io.masticfold.gateway.protocol.TargetLoadReport;
 import java.time.Duration;
 import java.util.ArrayDeque;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageOwner.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageOwner.java
@@ -1,6 +1,6 @@
 package io.masticfold.gateway.stage;
 
-import io.masticfold.core.target.TargetRecord;
+import io.masticfold.core.directory.TargetRecord;
 import io.masticfold.core.time.Deadline;
 import io.masticfold.gateway.context.GatewayContext;
 import io.masticfold.gateway.peer.PeerCaller;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StagePools.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StagePools.java
@@ -1,12 +1,12 @@
 package io.masticfold.gateway.stage;
 
+import io.masticfold.core.directory.TargetRecord;
 import io.masticfold.core.error.ErrorKind;
 import io.masticfold.core.forward.StagePoolSpec;
 import io.masticfold.core.retry.RetryBudget;
 import io.masticfold.core.stage.OwnerSupport;
 import io.masticfold.core.stage.StageRouting;
 import io.masticfold.core.stage.StageServerView;
-import io.masticfold.core.target.TargetRecord;
 import io.masticfold.gateway.context.GatewayContext;
 import io.masticfold.gateway.log.GatewayEvent;
 import io.masticfold.gateway.peer.PeerCaller;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerQueue.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerQueue.java
@@ -1,9 +1,9 @@
 package io.masticfold.gateway.stage;
 
+import io.masticfold.core.directory.TargetRecord;
 import io.masticfold.core.error.MasticfoldException;
 import io.masticfold.core.forward.StagePoolSpec;
 import io.masticfold.core.stage.BatchSupport;
-import io.masticfold.core.target.TargetRecord;
 import io.masticfold.gateway.context.GatewayContext;
 import io.masticfold.gateway.http.BufferedCall;
 import io.masticfold.gateway.http.CallResult;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformView.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformView.java
@@ -1,7 +1,7 @@
 package io.masticfold.gateway.store;
 
+import io.masticfold.core.directory.TargetDirectory;
 import io.masticfold.core.forward.ForwardConfig;
-import io.masticfold.core.target.TargetDirectory;
 import io.masticfold.gateway.protocol.GatewayAddress;
 import java.time.Duration;
 import java.util.List;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatch.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatch.java
@@ -1,9 +1,9 @@
 package io.masticfold.gateway.store;
 
+import io.masticfold.core.directory.TargetRecord;
+import io.masticfold.core.directory.TargetTable;
 import io.masticfold.core.error.MasticfoldException;
 import io.masticfold.core.forward.ForwardConfig;
-import io.masticfold.core.target.TargetRecord;
-import io.masticfold.core.target.TargetTable;
 import io.masticfold.core.time.Scheduler;
 import io.masticfold.gateway.log.DecisionLog;
 import io.masticfold.gateway.log.GatewayEvent;
