Split the long files of the gateway by concern

StagePools gives the knowledge of servers to StageServers, messages to StageMessages and orders to StageOrder; FrontConnection its answers to FrontAnswer; RequestRun its report to RequestReport. No behaviour is meant to change.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/FrontConnection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/FrontConnection.java
@@ -10,13 +10,9 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -50,7 +46,7 @@
     private @Nullable ChannelHandlerContext context;
     private @Nullable HttpRequest head;
     private @Nullable ByteBuf body;
-    private @Nullable Answer current;
+    private @Nullable FrontAnswer current;
     private @Nullable Future<?> timer;
     private long headNanos;
     private boolean closing;
@@ -75,7 +71,7 @@
         cancelTimer();
         waiting.clear();
         releaseBody();
-        Answer answer = current;
+        FrontAnswer answer = current;
         current = null;
         if (answer != null) {
             answer.callerLeft();
@@ -204,10 +200,9 @@
             }
             return;
         }
-        Answer answer = new Answer(open);
+        FrontAnswer answer = new FrontAnswer(this, open);
         current = answer;
-        answer.listener = server.handler().handle(next, answer);
-        answer.listenerReady();
+        answer.listen(server.handler().handle(next, answer));
     }
 
     private void refuse(BadRequestReason reason) {
@@ -220,7 +215,7 @@
         if (open == null) {
             return;
         }
-        Answer answer = current;
+        FrontAnswer answer = current;
         if (answer != null) {
             // The answer in progress ends first; the connection closes behind it.
             lastRequestRead = true;
@@ -275,9 +270,9 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext changed) {
-        Answer answer = current;
+        FrontAnswer answer = current;
         if (answer != null) {
-            answer.listener.writabilityChanged(changed.channel().isWritable());
+            answer.writabilityChanged(changed.channel().isWritable());
         }
     }
 
@@ -293,114 +288,36 @@
         failed.close();
     }
 
-    /** Writes one answer and then lets the next request start. */
-    private final class Answer implements CallerAnswer {
-
-        private final ChannelHandlerContext open;
-        private CallerListener listener = CallerListener.NONE;
-        private boolean left;
-        private boolean ended;
-
-        Answer(ChannelHandlerContext open) {
-            this.open = open;
-        }
-
-        void callerLeft() {
-            left = true;
-            if (!ended) {
-                ended = true;
-                listener.left();
-            }
-        }
-
-        /** Tells a listener that was set only after the caller had left. */
-        void listenerReady() {
-            if (left && !ended) {
-                callerLeft();
-            }
-        }
-
-        @Override
-        public void send(int status, HttpHeaders headers, ByteBuf content) {
-            if (ended) {
-                content.release();
-                return;
-            }
-            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.valueOf(status),
-                    content,
-                    headers,
-                    DefaultHttpHeadersFactory.trailersFactory().newHeaders());
-            HttpUtil.setContentLength(response, content.readableBytes());
-            connectionHeader(headers);
-            open.writeAndFlush(response);
-            done();
-        }
-
-        @Override
-        public void start(int status, HttpHeaders headers) {
-            if (ended) {
-                return;
-            }
-            headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-            connectionHeader(headers);
-            open.writeAndFlush(
-                    new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers));
-        }
-
-        private void connectionHeader(HttpHeaders headers) {
-            boolean last = lastRequestRead && waiting.isEmpty();
-            if (last || server.draining()) {
-                headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-                lastRequestRead = true;
-            }
-        }
-
-        @Override
-        public void write(ByteBuf bytes) {
-            if (ended) {
-                bytes.release();
-                return;
-            }
-            open.writeAndFlush(new DefaultHttpContent(bytes));
-        }
-
-        @Override
-        public void finish() {
-            if (!ended) {
-                open.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-                done();
-            }
+    /** Lets the next request start, or closes the connection behind the last answer. */
+    void answered(ChannelHandlerContext open) {
+        current = null;
+        if (lastAnswer()) {
+            closing = true;
+            open.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        } else {
+            // Not inside the handler's call, so that a chain of refusals does not grow the stack.
+            open.executor().execute(this::startNext);
         }
+    }
 
-        @Override
-        public void abort() {
-            if (!ended) {
-                ended = true;
-                closing = true;
-                current = null;
-                // A reset cannot be taken for the end of the body.
-                open.channel().config().setOption(ChannelOption.SO_LINGER, 0);
-                open.close();
-            }
-        }
+    /** Ends the connection at once; a reset cannot be taken for the end of a body. */
+    void abort(ChannelHandlerContext open) {
+        closing = true;
+        current = null;
+        open.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+        open.close();
+    }
 
-        @Override
-        public boolean writable() {
-            return open.channel().isWritable();
+    /** Returns whether the answer that starts now is the last one of the connection. */
+    boolean endsWithAnswer() {
+        if (lastAnswer() || server.draining()) {
+            lastRequestRead = true;
+            return true;
         }
+        return false;
+    }
 
-        private void done() {
-            ended = true;
-            current = null;
-            if (lastRequestRead && waiting.isEmpty()) {
-                closing = true;
-                open.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
-            } else {
-                // Not inside the handler's call, so that a chain of refusals does not grow the stack.
-                open.executor().execute(FrontConnection.this::startNext);
-            }
-        }
+    private boolean lastAnswer() {
+        return lastRequestRead && waiting.isEmpty();
     }
 }
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestReport.java
@@ -0,0 +1,68 @@
+package io.masticfold.gateway.request;
+
+import io.masticfold.core.error.Ran;
+import io.masticfold.gateway.context.GatewayContext;
+import io.masticfold.gateway.log.GatewayEvent;
+import java.util.Locale;
+
+/** Notes when a request reached each step, and logs and counts its end. Used by one thread. */
+final class RequestReport {
+
+    private static final double NANOS_PER_MILLI = 1e6;
+    private static final long NOT_REACHED = -1;
+
+    private final GatewayContext context;
+    private final RequestPlan plan;
+    private long stagesDoneMillis = NOT_REACHED;
+    private long sentMillis = NOT_REACHED;
+    private long firstEventMillis = NOT_REACHED;
+
+    RequestReport(GatewayContext context, RequestPlan plan) {
+        this.context = context;
+        this.plan = plan;
+    }
+
+    void stagesDone() {
+        stagesDoneMillis = sinceStart();
+    }
+
+    void sent() {
+        sentMillis = sinceStart();
+    }
+
+    void firstEvent() {
+        firstEventMillis = sinceStart();
+    }
+
+    boolean hasFirstEvent() {
+        return firstEventMillis != NOT_REACHED;
+    }
+
+    /** Logs and counts the end of the request. */
+    void end(GatewayEvent event, String outcome, Ran ran, int sends, int events, String detail) {
+        context.telemetry()
+                .request(
+                        plan.route().kind().name().toLowerCase(Locale.ROOT),
+                        outcome,
+                        context.scheduler().nanoTime() - plan.request().receivedNanos());
+        boolean routine = event == GatewayEvent.REQUEST_ANSWERED;
+        (routine ? context.log().routine(event) : context.log().failure(event))
+                .addKeyValue("request", plan.metadata().attemptId())
+                .addKeyValue("route", plan.route().name())
+                .addKeyValue("outcome", outcome)
+                .addKeyValue("ran", ran.code())
+                .addKeyValue("detail", detail)
+                .addKeyValue("sends", sends)
+                .addKeyValue("events", events)
+                .addKeyValue("stagesMillis", stagesDoneMillis)
+                .addKeyValue("sentMillis", sentMillis)
+                .addKeyValue("firstEventMillis", firstEventMillis)
+                .addKeyValue("totalMillis", sinceStart())
+                .addKeyValue("configVersion", plan.configVersion())
+                .log();
+    }
+
+    private long sinceStart() {
+        return (long) ((context.scheduler().nanoTime() - plan.request().receivedNanos()) / NANOS_PER_MILLI);
+    }
+}
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -23,7 +23,6 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -42,11 +41,10 @@
     /** Time after a send by which an engine without a queue has read the stage results. */
     private static final Duration INPUT_READ_TIME = Duration.ofMillis(100);
 
-    private static final double NANOS_PER_MILLI = 1e6;
-
     private final GatewayContext context;
     private final RequestServices services;
     private final RequestPlan plan;
+    private final RequestReport report;
     private final Consumer<RequestRun> onEnd;
     private final FinalAnswer answer;
     private final @Nullable StreamProgress progress;
@@ -61,9 +59,6 @@
     private int runs;
     private Ran ran = Ran.NO;
     private boolean ended;
-    private long stagesDoneNanos;
-    private long sentNanos;
-    private long firstEventNanos;
 
     RequestRun(
             GatewayContext context,
@@ -75,6 +70,7 @@
         this.context = context;
         this.services = services;
         this.plan = plan;
+        this.report = new RequestReport(context, plan);
         this.answer = new FinalAnswer(context, callerAnswer);
         this.progress = plan.route().kind().streaming() ? new StreamProgress(callerAnswer) : null;
         this.deadline = plan.deadline();
@@ -133,7 +129,7 @@
 
     @Override
     public void stagesDone(List<String> handles) {
-        stagesDoneNanos = context.scheduler().nanoTime();
+        report.stagesDone();
         inputs = handles;
         place();
     }
@@ -178,7 +174,7 @@
             pool.budget().earn();
         }
         sends++;
-        sentNanos = context.scheduler().nanoTime();
+        report.sent();
         TargetSend next = new TargetSend(
                 context,
                 this,
@@ -224,8 +220,8 @@
 
     /** An event of the stream reached the caller; the target has read every stage result. */
     void eventPassed() {
-        if (firstEventNanos == 0) {
-            firstEventNanos = context.scheduler().nanoTime();
+        if (!report.hasFirstEvent()) {
+            report.firstEvent();
             releaseStages();
         }
     }
@@ -279,7 +275,7 @@
     }
 
     private void sendAgain(SendResult result) {
-        boolean stagesRead = firstEventNanos != 0 || result.outcome() == SendOutcome.INPUT_GONE;
+        boolean stagesRead = report.hasFirstEvent() || result.outcome() == SendOutcome.INPUT_GONE;
         if (stagesRead && stageRun != null) {
             releaseStages();
             if (result.outcome() == SendOutcome.INPUT_GONE && stageRuns >= MAX_STAGE_RUNS) {
@@ -380,30 +376,7 @@
     }
 
     private void report(GatewayEvent event, String outcome, String detail) {
-        context.telemetry()
-                .request(
-                        plan.route().kind().name().toLowerCase(Locale.ROOT),
-                        outcome,
-                        context.scheduler().nanoTime() - plan.request().receivedNanos());
-        boolean routine = event == GatewayEvent.REQUEST_ANSWERED;
-        (routine ? context.log().routine(event) : context.log().failure(event))
-                .addKeyValue("request", plan.metadata().attemptId())
-                .addKeyValue("route", plan.route().name())
-                .addKeyValue("outcome", outcome)
-                .addKeyValue("ran", ran.code())
-                .addKeyValue("detail", detail)
-                .addKeyValue("sends", sends)
-                .addKeyValue("events", progress == null ? 0 : progress.events())
-                .addKeyValue("stagesMillis", sinceStart(stagesDoneNanos))
-                .addKeyValue("sentMillis", sinceStart(sentNanos))
-                .addKeyValue("firstEventMillis", sinceStart(firstEventNanos))
-                .addKeyValue("totalMillis", sinceStart(context.scheduler().nanoTime()))
-                .addKeyValue("configVersion", plan.configVersion())
-                .log();
-    }
-
-    private long sinceStart(long nanos) {
-        return nanos == 0 ? -1 : (long) ((nanos - plan.request().receivedNanos()) / NANOS_PER_MILLI);
+        report.end(event, outcome, ran, sends, progress == null ? 0 : progress.events(), detail);
     }
 
     @Override
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageRun.java
@@ -87,7 +87,7 @@
 
     private void commit(int stage, int pieces) {
         committed.merge(stage, pieces, Integer::sum);
-        pools.commit(stages.get(stage).pool(), pieces);
+        pools.servers().commit(stages.get(stage).pool(), pieces);
     }
 
     /** Ends a run that has not begun. */
@@ -136,7 +136,7 @@
     /** Returns the time from now to the end of a stage, with or without what has to be done before it. */
     private Duration finish(int stage, boolean loaded) {
         Duration start = start(stage, loaded);
-        Duration call = pools.callTime(stages.get(stage).pool(), graph.pieces(stage));
+        Duration call = pools.servers().callTime(stages.get(stage).pool(), graph.pieces(stage));
         Duration end = start.plus(call);
         return loaded ? end.plus(wait(stage, start, true)) : end;
     }
@@ -153,7 +153,8 @@
 
     /** Returns what is left of the backlog of a stage's pool when the request reaches it. */
     private Duration wait(int stage, Duration start, boolean onTime) {
-        Duration left = pools.backlog(stages.get(stage).pool(), onTime).minus(start);
+        Duration left =
+                pools.servers().backlog(stages.get(stage).pool(), onTime).minus(start);
         return longer(left, Duration.ZERO);
     }
 
@@ -218,7 +219,7 @@
         long longest = 0;
         for (int next = 0; next < stages.size(); next++) {
             if (stages.get(next).after().contains(stage)) {
-                long usual = pools.usualTime(stages.get(next).pool()).toNanos();
+                long usual = pools.servers().usualTime(stages.get(next).pool()).toNanos();
                 longest = Math.max(longest, usual + afterNanos(next));
             }
         }
