Ask a stage server about a late call instead of waiting for the longest answer

A call waited up to 1.5 s for its answer, then everything that waited at the server was given back, spent the retry budget although it had been in no call, and the server was not called for 700 ms. The pool worked 25 to 40 of 100 seconds while ten requests a second were refused or held. Ruled out: load (the pool was idle), room (7 MB of 27 free), placement.

Change: after 1.5 times the expected time the server is asked what it does. Idle: the answer was lost, the pieces are made elsewhere, the server is called again. Busy: it is slow, keeps its pieces, and what waits moves. No report: it is left for 700 ms. Pieces that were in no call move without spending the budget. The late answer is still read, since it names results that take room.

Test: StageTests.aCallWhoseAnswerIsLostIsMadeElsewhereWithinTheAim failed before (1.6 s against an aim of 1 s) and passes.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/PieceOutcome.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/PieceOutcome.java
@@ -20,7 +20,9 @@
         NO_ROOM,
         /** The server failed to make this piece. */
         FAILED,
-        /** The server did not serve the whole call, or is not used any more. */
-        GIVEN_BACK
+        /** The server did not serve the whole call. */
+        GIVEN_BACK,
+        /** The piece was in no call, and its server is not used at present. */
+        NOT_SENT
     }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StageDialect.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StageDialect.java
@@ -26,4 +26,14 @@
 
     /** Encodes a call that releases results. */
     byte[] encodeFree(List<String> handles);
+
+    /** Returns the path at which a server says what it does. */
+    String reportUri();
+
+    /**
+     * Decodes what a server says of itself.
+     *
+     * @throws MasticfoldException if the report is malformed
+     */
+    StageReport decodeReport(byte[] body) throws MasticfoldException;
 }
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageCall.java
@@ -0,0 +1,181 @@
+package io.masticfold.gateway.stage;
+
+import io.masticfold.core.directory.TargetRecord;
+import io.masticfold.core.error.MasticfoldException;
+import io.masticfold.core.forward.StagePoolSpec;
+import io.masticfold.core.stage.SilenceSupport;
+import io.masticfold.core.time.Cancellable;
+import io.masticfold.gateway.context.GatewayContext;
+import io.masticfold.gateway.http.BufferedCall;
+import io.masticfold.gateway.http.CallResult;
+import io.masticfold.gateway.http.ConnectionChoice;
+import io.masticfold.gateway.protocol.StagePiece;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** Runs one call of a stage server, and asks the server about it when the answer is late. Used by one thread. */
+final class StageCall {
+
+    /** Time beyond the longest expected call after which nobody listens for the answer any more. */
+    private static final long LISTEN_SLACK_MILLIS = 600;
+
+    /** Time for the server to say what it does: a hundred times the way there and back between zones. */
+    private static final Duration REPORT_TIMEOUT = Duration.ofMillis(150);
+
+    /** Time between two questions; reports can be some hundred milliseconds old. */
+    private static final Duration ASK_AGAIN = Duration.ofMillis(200);
+
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final GatewayContext context;
+    private final StagePoolSpec spec;
+    private final TargetRecord server;
+    private final List<QueuedPiece> pieces;
+    private final double slowness;
+    private final StageCallListener listener;
+    private final long startedNanos;
+    private Cancellable question = Cancellable.NONE;
+    private boolean givenUp;
+    private boolean ended;
+
+    private StageCall(
+            GatewayContext context,
+            StagePoolSpec spec,
+            TargetRecord server,
+            List<QueuedPiece> pieces,
+            double slowness,
+            StageCallListener listener) {
+        this.context = context;
+        this.spec = spec;
+        this.server = server;
+        this.pieces = List.copyOf(pieces);
+        this.slowness = slowness;
+        this.listener = listener;
+        this.startedNanos = context.scheduler().nanoTime();
+    }
+
+    /**
+     * Starts a call.
+     *
+     * @param slowness measured duration of the server's calls in parts of the expected one
+     */
+    static StageCall start(
+            GatewayContext context,
+            StagePoolSpec spec,
+            TargetRecord server,
+            List<QueuedPiece> pieces,
+            double slowness,
+            StageCallListener listener) {
+        StageCall call = new StageCall(context, spec, server, pieces, slowness, listener);
+        call.send();
+        return call;
+    }
+
+    private void send() {
+        List<StagePiece> items = pieces.stream()
+                .map(piece -> piece.item(piece.deadline().remaining(context.scheduler())))
+                .toList();
+        FullHttpRequest request = BufferedCall.request(
+                HttpMethod.POST,
+                context.protocol().stages().runUri(),
+                server.address(),
+                context.protocol().stages().encodeRun(items));
+        double longest = (spec.queue() + 1) * spec.expectedMillis(spec.batch()) * slowness + LISTEN_SLACK_MILLIS;
+        // A late answer still names the results that take room at the server until their keep time ends.
+        Duration listen = Duration.ofMillis(Math.max((long) longest, spec.keepMillis()));
+        askAfter(Duration.ofMillis((long) SilenceSupport.askAfterMillis(expectedMillis(), slowness)));
+        call(request, listen, this::end);
+    }
+
+    private void call(FullHttpRequest request, Duration timeout, Consumer<CallResult> receiver) {
+        request.headers().set(context.protocol().headers().expectedTarget(), server.id());
+        BufferedCall.start(
+                context.client(),
+                context.scheduler(),
+                server.address(),
+                request,
+                ConnectionChoice.REUSE,
+                timeout,
+                receiver);
+    }
+
+    private void askAfter(Duration delay) {
+        question = context.scheduler().schedule(delay, this::ask);
+    }
+
+    private void ask() {
+        context.telemetry().count("stage_call_late");
+        FullHttpRequest request = BufferedCall.request(
+                HttpMethod.GET, context.protocol().stages().reportUri(), server.address(), new byte[0]);
+        call(request, REPORT_TIMEOUT, result -> {
+            if (!ended) {
+                told(atWork(result));
+            }
+        });
+    }
+
+    /** Returns whether the server is at work; empty if it does not say so. */
+    private Optional<Boolean> atWork(CallResult result) {
+        if (result instanceof CallResult.Answered answered && answered.status() == HttpResponseStatus.OK.code()) {
+            try {
+                return Optional.of(context.protocol()
+                        .stages()
+                        .decodeReport(answered.body())
+                        .hasWork());
+            } catch (MasticfoldException e) {
+                return Optional.empty();
+            }
+        }
+        return Optional.empty();
+    }
+
+    private void told(Optional<Boolean> atWork) {
+        if (atWork.isEmpty()) {
+            givenUp = true;
+            listener.unreachable(this);
+        } else if (!atWork.get()) {
+            givenUp = true;
+            listener.answerLost(this);
+        } else {
+            listener.slow(this);
+            askAfter(ASK_AGAIN);
+        }
+    }
+
+    private void end(CallResult result) {
+        ended = true;
+        question.cancel();
+        listener.ended(this, result);
+    }
+
+    StagePoolSpec spec() {
+        return spec;
+    }
+
+    List<QueuedPiece> pieces() {
+        return pieces;
+    }
+
+    /** Returns the size of the results, in bytes. */
+    long bytes() {
+        return pieces.stream().mapToLong(QueuedPiece::bytes).sum();
+    }
+
+    double expectedMillis() {
+        return spec.expectedMillis(pieces.size());
+    }
+
+    double elapsedMillis() {
+        return (context.scheduler().nanoTime() - startedNanos) / NANOS_PER_MILLI;
+    }
+
+    /** Returns whether the pieces were given up before the end of the call. */
+    boolean givenUp() {
+        return givenUp;
+    }
+}
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageOrder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageOrder.java
@@ -24,7 +24,12 @@
     /** Peer that owns the server; empty if this gateway does. */
     String owner = "";
 
+    /** Sends that may have reached a server. */
     int sends;
+
+    /** Sends that ended in a queue before they reached a server. */
+    int moves;
+
     long placedNanos;
     boolean cancelled;
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageOwner.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageOwner.java
@@ -39,7 +39,7 @@
         } else {
             // Not inside the call, since the receiver may add pieces again.
             context.scheduler().schedule(Duration.ZERO, () -> piece.receiver()
-                    .outcome(piece.order(), new PieceOutcome(PieceOutcome.Kind.GIVEN_BACK, "")));
+                    .outcome(piece.order(), new PieceOutcome(PieceOutcome.Kind.NOT_SENT, "")));
         }
     }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StagePools.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StagePools.java
@@ -28,6 +28,9 @@
     /** Most sends of one piece. */
     static final int MAX_SENDS = 4;
 
+    /** Most times that a piece is moved from the queue of one server to another: as often as it may be sent. */
+    static final int MAX_MOVES = 4;
+
     private static final double NANOS_PER_MILLI = 1e6;
 
     private final GatewayContext context;
@@ -240,16 +243,24 @@
             return;
         }
         logFailure(order, outcome.kind());
-        if (outcome.kind() == PieceOutcome.Kind.GIVEN_BACK) {
-            servers.notes(order.server).failed(context.scheduler().nanoTime() + StageServers.FAILING_TIME.toNanos());
-        }
-        if (outcome.kind() == PieceOutcome.Kind.FAILED || outcome.kind() == PieceOutcome.Kind.GIVEN_BACK) {
-            again(order);
-        } else {
-            order.piece.listener().failed(outcome.kind());
+        switch (outcome.kind()) {
+            case FAILED -> again(order);
+            case GIVEN_BACK -> {
+                avoid(order.server);
+                again(order);
+            }
+            case NOT_SENT -> {
+                avoid(order.server);
+                move(order);
+            }
+            default -> order.piece.listener().failed(outcome.kind());
         }
     }
 
+    private void avoid(String server) {
+        servers.notes(server).failed(context.scheduler().nanoTime() + StageServers.FAILING_TIME.toNanos());
+    }
+
     private void logFailure(StageOrder order, PieceOutcome.Kind kind) {
         context.log()
                 .failure(GatewayEvent.STAGE_PIECE_FAILED)
@@ -275,6 +286,17 @@
         }
     }
 
+    /** Places a piece that has reached no server; it is no repeat, so it costs nothing of the retry budget. */
+    private void move(StageOrder order) {
+        order.sends--;
+        order.moves++;
+        if (!order.piece.deadline().expired(context.scheduler()) && order.moves <= MAX_MOVES) {
+            place(order.pool, List.of(order));
+        } else {
+            order.piece.listener().failed(PieceOutcome.Kind.FAILED);
+        }
+    }
+
     private void failLater(List<StageOrder> group) {
         context.scheduler()
                 .schedule(
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerAccount.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerAccount.java
@@ -54,28 +54,43 @@
         return slowness;
     }
 
-    double callMillis() {
-        return (time.nanoTime() - callStartedNanos) / NANOS_PER_MILLI;
-    }
-
     double remainingMillis() {
-        return callExpectedMillis == 0 ? 0 : Math.max(0, callExpectedMillis * slowness - callMillis());
+        double elapsed = (time.nanoTime() - callStartedNanos) / NANOS_PER_MILLI;
+        return callExpectedMillis == 0 ? 0 : Math.max(0, callExpectedMillis * slowness - elapsed);
     }
 
     void callStarted(long bytes, double expectedMillis) {
-        callBytes = bytes;
+        callBytes += bytes;
         callStartedNanos = time.nanoTime();
         callExpectedMillis = expectedMillis;
     }
 
-    void callEnded(long bytes) {
-        callBytes -= bytes;
+    /** Notes that the server may be called again. */
+    void callEnded() {
         callExpectedMillis = 0;
     }
 
-    void measured(double expectedMillis) {
-        double next = (1 - SLOWNESS_WEIGHT) * slowness + SLOWNESS_WEIGHT * callMillis() / expectedMillis;
-        slowness = Math.max(LEAST_SLOWNESS, Math.min(MOST_SLOWNESS, next));
+    /** Notes that it is known what became of the results of a call. */
+    void settled(long bytes) {
+        callBytes -= bytes;
+    }
+
+    /**
+     * Notes how long a call took.
+     *
+     * @param ratio its duration in parts of the expected one
+     */
+    void measured(double ratio) {
+        slowness = bounded((1 - SLOWNESS_WEIGHT) * slowness + SLOWNESS_WEIGHT * ratio);
+    }
+
+    /** Notes how long a call took that counted as silent: the server is slow, which one such call shows. */
+    void measuredLate(double ratio) {
+        slowness = bounded(Math.max(slowness, ratio));
+    }
+
+    private static double bounded(double slowness) {
+        return Math.max(LEAST_SLOWNESS, Math.min(MOST_SLOWNESS, slowness));
     }
 
     void pause(Duration length) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerQueue.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerQueue.java
@@ -5,19 +5,15 @@
 import io.masticfold.core.forward.StagePoolSpec;
 import io.masticfold.core.stage.BatchSupport;
 import io.masticfold.gateway.context.GatewayContext;
-import io.masticfold.gateway.http.BufferedCall;
 import io.masticfold.gateway.http.CallResult;
-import io.masticfold.gateway.http.ConnectionChoice;
 import io.masticfold.gateway.log.GatewayEvent;
 import io.masticfold.gateway.protocol.PieceOutcome;
-import io.masticfold.gateway.protocol.StagePiece;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.jspecify.annotations.Nullable;
 
 /** Sends the pieces of all gateways to one stage server, one call at a time. Used by one thread. */
 final class StageServerQueue {
@@ -31,9 +27,6 @@
     /** Pause before a server that had no room for a result is called again. */
     static final Duration ROOM_PAUSE = Duration.ofMillis(60);
 
-    /** Room is short when less than this part of it is free. */
-    static final int SHORT_ROOM_PART = 2;
-
     /** Times that a full server is called for the same pieces before they are given back. */
     static final int MAX_FULL_ANSWERS = 3;
 
@@ -43,17 +36,16 @@
      */
     static final Duration INPUT_READ_TIME = Duration.ofMillis(60);
 
-    /** Time beyond the longest expected call after which a server counts as silent. */
-    private static final long SILENCE_MILLIS = 600;
-
     private static final double NANOS_PER_MILLI = 1e6;
 
     private final GatewayContext context;
     private final String pool;
     private final TargetRecord server;
     private final StageServerAccount account;
+    private final StageReleases releases;
     private final List<QueuedPiece> waiting = new ArrayList<>();
-    private boolean calling;
+    private @Nullable StageCall current;
+    private int callsGivenUp;
     private boolean pumpArmed;
     private int fullAnswers;
 
@@ -62,6 +54,7 @@
         this.pool = pool;
         this.server = server;
         this.account = new StageServerAccount(context.scheduler());
+        this.releases = new StageReleases(context, server, account, this::spec, () -> pumpAfter(Duration.ZERO));
     }
 
     TargetRecord server() {
@@ -87,7 +80,7 @@
 
     /** Returns whether no piece waits and no call is in progress. */
     boolean idle() {
-        return waiting.isEmpty() && !calling;
+        return waiting.isEmpty() && current == null && callsGivenUp == 0;
     }
 
     /**
@@ -96,27 +89,7 @@
      * @param needed whether a failure may still make them needed again; such results are kept until room is short
      */
     void release(List<String> handles, boolean needed) {
-        if (needed) {
-            account.evictable(handles);
-            evictIfShort();
-            return;
-        }
-        handles.forEach(account::release);
-        armRelease();
-    }
-
-    private void evictIfShort() {
-        long total = spec().map(StagePoolSpec::roomBytes).orElse(0L);
-        if (account.roomBytes(total) < total / SHORT_ROOM_PART && account.evict()) {
-            armRelease();
-        }
-    }
-
-    private void armRelease() {
-        if (!account.releaseArmed()) {
-            account.armRelease();
-            context.scheduler().schedule(StageServerAccount.RELEASE_DELAY, this::sendRelease);
-        }
+        releases.release(handles, needed);
     }
 
     /** Returns the time until a piece that is added now would start, in milliseconds. */
@@ -165,7 +138,7 @@
 
     private void pump() {
         Optional<StagePoolSpec> spec = spec();
-        if (spec.isEmpty() || calling) {
+        if (spec.isEmpty() || current != null) {
             return;
         }
         giveBackUnusable();
@@ -192,7 +165,7 @@
                 .toList();
         unusable.forEach(piece -> {
             waiting.remove(piece);
-            answer(piece, usable ? PieceOutcome.Kind.LATE : PieceOutcome.Kind.GIVEN_BACK);
+            answer(piece, usable ? PieceOutcome.Kind.LATE : PieceOutcome.Kind.NOT_SENT);
         });
     }
 
@@ -211,71 +184,104 @@
     }
 
     private void call(StagePoolSpec spec, List<QueuedPiece> batch) {
-        calling = true;
-        double expected = spec.expectedMillis(batch.size());
-        long bytes = batch.stream().mapToLong(QueuedPiece::bytes).sum();
-        account.callStarted(bytes, expected);
-        evictIfShort();
+        StageCall call = StageCall.start(context, spec, server, batch, account.slowness(), new CallListener());
+        current = call;
+        account.callStarted(call.bytes(), call.expectedMillis());
+        releases.evictIfShort();
         context.scheduler()
                 .schedule(
                         INPUT_READ_TIME,
                         () -> batch.forEach(piece -> piece.receiver().inputsRead(piece.order())));
-        List<StagePiece> items = batch.stream()
-                .map(piece -> piece.item(piece.deadline().remaining(context.scheduler())))
-                .toList();
-        FullHttpRequest request = BufferedCall.request(
-                HttpMethod.POST,
-                context.protocol().stages().runUri(),
-                server.address(),
-                context.protocol().stages().encodeRun(items));
-        request.headers().set(context.protocol().headers().expectedTarget(), server.id());
-        double longest = (spec.queue() + 1) * spec.expectedMillis(spec.batch()) * account.slowness();
-        BufferedCall.start(
-                context.client(),
-                context.scheduler(),
-                server.address(),
-                request,
-                ConnectionChoice.REUSE,
-                Duration.ofMillis((long) longest + SILENCE_MILLIS),
-                result -> ended(spec, batch, bytes, expected, result));
     }
 
-    private void ended(
-            StagePoolSpec spec, List<QueuedPiece> batch, long bytes, double expectedMillis, CallResult result) {
-        calling = false;
-        account.callEnded(bytes);
-        String problem = settleCall(spec, batch, result);
-        if (problem.isEmpty()) {
-            fullAnswers = 0;
-            account.measured(expectedMillis);
-            context.telemetry().stage(pool, batch.size(), (long) (account.callMillis() * NANOS_PER_MILLI));
-            context.log()
-                    .routine(GatewayEvent.STAGE_CALLED)
-                    .addKeyValue("pool", pool)
-                    .addKeyValue("target", server.id())
-                    .addKeyValue("pieces", batch.size())
-                    .addKeyValue("callMillis", (long) account.callMillis())
-                    .addKeyValue("expectedMillis", (long) expectedMillis)
-                    .addKeyValue("waiting", waiting.size())
-                    .addKeyValue("roomBytes", account.roomBytes(spec.roomBytes()))
-                    .log();
+    /** Lets what waits behind a slow call be made elsewhere. */
+    private void slow(StageCall call) {
+        account.measuredLate(call.elapsedMillis() / call.expectedMillis());
+        moveWaiting();
+    }
+
+    /** Has the pieces of a call made elsewhere; its answer is still taken, since it names what takes room. */
+    private void giveUp(StageCall call, String problem) {
+        current = null;
+        callsGivenUp++;
+        account.callEnded();
+        logFailure(call, problem);
+        giveBack(call.pieces());
+        pumpAfter(Duration.ZERO);
+    }
+
+    private void ended(StageCall call, CallResult result) {
+        account.settled(call.bytes());
+        if (call.givenUp()) {
+            endedLate(call, result);
         } else {
-            context.log()
-                    .failure(GatewayEvent.STAGE_CALL_FAILED)
-                    .addKeyValue("pool", pool)
-                    .addKeyValue("target", server.id())
-                    .addKeyValue("pieces", batch.size())
-                    .addKeyValue("afterMillis", (long) account.callMillis())
-                    .addKeyValue("problem", problem)
-                    .log();
+            current = null;
+            account.callEnded();
+            endedInTime(call, result);
         }
         pumpAfter(Duration.ZERO);
     }
 
+    /** Takes the answer of a call whose pieces are made elsewhere by now. */
+    private void endedLate(StageCall call, CallResult result) {
+        callsGivenUp--;
+        if (result instanceof CallResult.Answered answered && answered.status() == HttpResponseStatus.OK.code()) {
+            account.measuredLate(call.elapsedMillis() / call.expectedMillis());
+            try {
+                List<PieceOutcome> outcomes = context.protocol()
+                        .stages()
+                        .decodeRun(answered.body(), call.pieces().size());
+                List<String> unused = new ArrayList<>();
+                for (int i = 0; i < outcomes.size(); i++) {
+                    if (outcomes.get(i).kind() == PieceOutcome.Kind.MADE) {
+                        keep(call.spec(), call.pieces().get(i), outcomes.get(i));
+                        unused.add(outcomes.get(i).handle());
+                    }
+                }
+                releases.release(unused, false);
+            } catch (MasticfoldException e) {
+                logFailure(call, "malformed late answer: " + e.getMessage());
+            }
+        }
+    }
+
+    private void endedInTime(StageCall call, CallResult result) {
+        String problem = settleCall(call.spec(), call.pieces(), result);
+        if (!problem.isEmpty()) {
+            logFailure(call, problem);
+            return;
+        }
+        fullAnswers = 0;
+        account.measured(call.elapsedMillis() / call.expectedMillis());
+        context.telemetry().stage(pool, call.pieces().size(), (long) (call.elapsedMillis() * NANOS_PER_MILLI));
+        context.log()
+                .routine(GatewayEvent.STAGE_CALLED)
+                .addKeyValue("pool", pool)
+                .addKeyValue("target", server.id())
+                .addKeyValue("pieces", call.pieces().size())
+                .addKeyValue("callMillis", (long) call.elapsedMillis())
+                .addKeyValue("expectedMillis", (long) call.expectedMillis())
+                .addKeyValue("waiting", waiting.size())
+                .addKeyValue("roomBytes", account.roomBytes(call.spec().roomBytes()))
+                .log();
+    }
+
+    private void logFailure(StageCall call, String problem) {
+        context.log()
+                .failure(GatewayEvent.STAGE_CALL_FAILED)
+                .addKeyValue("pool", pool)
+                .addKeyValue("target", server.id())
+                .addKeyValue("pieces", call.pieces().size())
+                .addKeyValue("afterMillis", (long) call.elapsedMillis())
+                .addKeyValue("problem", problem)
+                .log();
+    }
+
     /** Deals with the answer of a call; returns what went wrong, or an empty text. */
     private String settleCall(StagePoolSpec spec, List<QueuedPiece> batch, CallResult result) {
         if (result instanceof CallResult.Failed failed) {
-            giveBack(batch, FAILURE_PAUSE);
+            giveBack(batch);
+            abandon();
             return failed.detail();
         }
         CallResult.Answered answered = (CallResult.Answered) result;
@@ -287,7 +293,7 @@
                 }
                 return "";
             } catch (MasticfoldException e) {
-                giveBack(batch, FAILURE_PAUSE);
+                giveBack(batch);
                 return "malformed answer: " + e.getMessage();
             }
         }
@@ -300,24 +306,32 @@
             waiting.addAll(batch);
         } else {
             fullAnswers = 0;
-            giveBack(batch, FAILURE_PAUSE);
+            giveBack(batch);
+            abandon();
         }
         return "status " + answered.status();
     }
 
-    private void giveBack(List<QueuedPiece> batch, Duration pause) {
-        account.pause(pause);
-        // What waits behind the batch is better off at another server, too.
-        List<QueuedPiece> back = new ArrayList<>(batch);
-        back.addAll(waiting);
+    private void giveBack(List<QueuedPiece> batch) {
+        batch.forEach(piece -> answer(piece, PieceOutcome.Kind.GIVEN_BACK));
+    }
+
+    /** Calls the server no more for a while; what waits is better off at another server. */
+    private void abandon() {
+        account.pause(FAILURE_PAUSE);
+        moveWaiting();
+    }
+
+    private void moveWaiting() {
+        List<QueuedPiece> back = List.copyOf(waiting);
         waiting.clear();
-        back.forEach(piece -> answer(piece, PieceOutcome.Kind.GIVEN_BACK));
+        back.forEach(piece -> answer(piece, PieceOutcome.Kind.NOT_SENT));
     }
 
     private void settle(StagePoolSpec spec, QueuedPiece piece, PieceOutcome outcome) {
         switch (outcome.kind()) {
             case MADE -> {
-                account.keep(outcome.handle(), piece.bytes(), Duration.ofMillis(spec.keepMillis()));
+                keep(spec, piece, outcome);
                 piece.receiver().outcome(piece.order(), outcome);
             }
             case NO_ROOM -> {
@@ -326,36 +340,42 @@
                 account.pause(ROOM_PAUSE);
                 waiting.add(piece);
             }
-            case LATE, INPUT_GONE, FAILED, GIVEN_BACK -> piece.receiver().outcome(piece.order(), outcome);
+            case LATE, INPUT_GONE, FAILED, GIVEN_BACK, NOT_SENT ->
+                piece.receiver().outcome(piece.order(), outcome);
             default -> throw new IllegalStateException("unknown outcome " + outcome.kind());
         }
     }
 
+    private void keep(StagePoolSpec spec, QueuedPiece piece, PieceOutcome made) {
+        account.keep(made.handle(), piece.bytes(), Duration.ofMillis(spec.keepMillis()));
+    }
+
     private static void answer(QueuedPiece piece, PieceOutcome.Kind kind) {
         piece.receiver().outcome(piece.order(), new PieceOutcome(kind, ""));
     }
 
-    private void sendRelease() {
-        List<String> handles = account.takeReleased();
-        boolean known = context.view().directory().find(server.id()).isPresent();
-        if (handles.isEmpty() || !known) {
-            return;
+    /** Passes the events of a call on. */
+    private final class CallListener implements StageCallListener {
+
+        @Override
+        public void slow(StageCall call) {
+            StageServerQueue.this.slow(call);
+        }
+
+        @Override
+        public void answerLost(StageCall call) {
+            giveUp(call, "no answer, and the server is idle");
+        }
+
+        @Override
+        public void unreachable(StageCall call) {
+            giveUp(call, "no answer, and the server does not report");
+            abandon();
+        }
+
+        @Override
+        public void ended(StageCall call, CallResult result) {
+            StageServerQueue.this.ended(call, result);
         }
-        BufferedCall.start(
-                context.client(),
-                context.scheduler(),
-                server.address(),
-                BufferedCall.request(
-                        HttpMethod.POST,
-                        context.protocol().stages().freeUri(),
-                        server.address(),
-                        context.protocol().stages().encodeFree(handles)),
-                ConnectionChoice.REUSE,
-                StageServerAccount.RELEASE_TIMEOUT,
-                _result -> {
-                    // A result whose release was lost goes by itself after its keep time.
-                    account.freed(handles);
-                    pumpAfter(Duration.ZERO);
-                });
     }
 }
