--- a/masticfold-core/src/main/java/io/masticfold/core/stage/StageAdmission.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/stage/StageAdmission.java
@@ -16,8 +16,18 @@
     /** Part of its whole time that a new request may be expected to wait before its first stage. */
     static final double WAITING_PART = 0.5;
 
+    /**
+     * Factor from the expected to the usual time of the stages. Expectations know of no partial calls and of nothing
+     * that begins later and is more urgent; half of the requests of busy days took 1.05 to 1.4 times as long.
+     */
+    static final double USUAL_FACTOR = 1.25;
+
     private StageAdmission() {}
 
+    private static Duration usual(Duration expected) {
+        return Duration.ofMillis((long) (expected.toMillis() * USUAL_FACTOR));
+    }
+
     /**
      * Decides about a request.
      *
@@ -29,7 +39,8 @@
         if (toDeadline.compareTo(path.unloaded()) < 0) {
             return Verdict.REFUSE;
         }
-        if (path.expected().compareTo(toAim) <= 0 || path.longestBacklog().compareTo(LATE_BACKLOG) <= 0) {
+        if (usual(path.expected()).compareTo(toAim) <= 0
+                || path.longestBacklog().compareTo(LATE_BACKLOG) <= 0) {
             return Verdict.START;
         }
         return Verdict.WAIT;
--- a/masticfold-core/src/test/java/io/masticfold/core/stage/StageAdmissionTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/stage/StageAdmissionTests.java
@@ -23,6 +23,8 @@
     @CsvSource({
         "600, 700, 100, 1500, 8000, START",
         "600, 1600, 900, 1500, 8000, WAIT",
+        // On time by the expectation alone, and late as most such requests were on busy days.
+        "600, 1300, 900, 1500, 8000, WAIT",
         "600, 1600, 300, 1500, 8000, START",
         "600, 700, 900, -100, 8000, WAIT",
         "600, 700, 100, -100, 8000, START",
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/PeerDispatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/PeerDispatcher.java
@@ -22,7 +22,7 @@
         if (frame.hasKnowledge()) {
             knowledge.answered(peer, frame.getKnowledge());
         } else {
-            stages.answered(frame);
+            stages.answered(peer, frame);
         }
     }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/Peer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/Peer.java
@@ -71,6 +71,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_masticfold_gateway_PeerStatus_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_masticfold_gateway_PoolCommitment_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_masticfold_gateway_PoolCommitment_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_masticfold_gateway_ServerBacklog_descriptor;
   static final 
@@ -136,22 +141,24 @@
       "er\030\001 \001(\004\";\n\013PieceCancel\022\014\n\004pool\030\001 \001(\t\022\016\n" +
       "\006server\030\002 \001(\t\022\016\n\006orders\030\003 \003(\004\"N\n\rResultR" +
       "elease\022\014\n\004pool\030\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\017\n\007" +
-      "handles\030\003 \003(\t\022\016\n\006needed\030\004 \001(\010\"R\n\nPeerSta" +
-      "tus\0222\n\007servers\030\001 \003(\0132!.masticfold.gatewa" +
-      "y.ServerBacklog\022\020\n\010draining\030\002 \001(\010\"k\n\rSer" +
-      "verBacklog\022\016\n\006server\030\001 \001(\t\022\026\n\016backlog_mi" +
-      "llis\030\002 \001(\r\022\022\n\nroom_bytes\030\003 \001(\004\022\036\n\026on_tim" +
-      "e_backlog_millis\030\004 \001(\r\"H\n\020KnowledgeReque" +
-      "st\0224\n\trevisions\030\001 \003(\0132!.masticfold.gatew" +
-      "ay.KnownRevision\"/\n\rKnownRevision\022\014\n\004kin" +
-      "d\030\001 \001(\r\022\020\n\010revision\030\002 \001(\004\"9\n\tKnowledge\022," +
-      "\n\005kinds\030\001 \003(\0132\035.masticfold.gateway.Known" +
-      "Kind\"]\n\tKnownKind\022\014\n\004kind\030\001 \001(\r\022\020\n\010revis" +
-      "ion\030\002 \001(\004\0220\n\007objects\030\003 \003(\0132\037.masticfold." +
-      "gateway.KnownObject\">\n\013KnownObject\022\014\n\004na" +
-      "me\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\017\n\007content\030\003 " +
-      "\001(\014B&\n io.masticfold.gateway.peer.protoH" +
-      "\001P\001b\006proto3"
+      "handles\030\003 \003(\t\022\016\n\006needed\030\004 \001(\010\"\213\001\n\nPeerSt" +
+      "atus\0222\n\007servers\030\001 \003(\0132!.masticfold.gatew" +
+      "ay.ServerBacklog\022\020\n\010draining\030\002 \001(\010\0227\n\013co" +
+      "mmitments\030\003 \003(\0132\".masticfold.gateway.Poo" +
+      "lCommitment\".\n\016PoolCommitment\022\014\n\004pool\030\001 " +
+      "\001(\t\022\016\n\006pieces\030\002 \001(\r\"k\n\rServerBacklog\022\016\n\006" +
+      "server\030\001 \001(\t\022\026\n\016backlog_millis\030\002 \001(\r\022\022\n\n" +
+      "room_bytes\030\003 \001(\004\022\036\n\026on_time_backlog_mill" +
+      "is\030\004 \001(\r\"H\n\020KnowledgeRequest\0224\n\trevision" +
+      "s\030\001 \003(\0132!.masticfold.gateway.KnownRevisi" +
+      "on\"/\n\rKnownRevision\022\014\n\004kind\030\001 \001(\r\022\020\n\010rev" +
+      "ision\030\002 \001(\004\"9\n\tKnowledge\022,\n\005kinds\030\001 \003(\0132" +
+      "\035.masticfold.gateway.KnownKind\"]\n\tKnownK" +
+      "ind\022\014\n\004kind\030\001 \001(\r\022\020\n\010revision\030\002 \001(\004\0220\n\007o" +
+      "bjects\030\003 \003(\0132\037.masticfold.gateway.KnownO" +
+      "bject\">\n\013KnownObject\022\014\n\004name\030\001 \001(\t\022\020\n\010re" +
+      "vision\030\002 \001(\004\022\017\n\007content\030\003 \001(\014B&\n io.mast" +
+      "icfold.gateway.peer.protoH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -210,39 +217,45 @@
     internal_static_masticfold_gateway_PeerStatus_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_PeerStatus_descriptor,
-        new java.lang.String[] { "Servers", "Draining", });
-    internal_static_masticfold_gateway_ServerBacklog_descriptor =
+        new java.lang.String[] { "Servers", "Draining", "Commitments", });
+    internal_static_masticfold_gateway_PoolCommitment_descriptor =
       getDescriptor().getMessageType(9);
+    internal_static_masticfold_gateway_PoolCommitment_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_masticfold_gateway_PoolCommitment_descriptor,
+        new java.lang.String[] { "Pool", "Pieces", });
+    internal_static_masticfold_gateway_ServerBacklog_descriptor =
+      getDescriptor().getMessageType(10);
     internal_static_masticfold_gateway_ServerBacklog_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_ServerBacklog_descriptor,
         new java.lang.String[] { "Server", "BacklogMillis", "RoomBytes", "OnTimeBacklogMillis", });
     internal_static_masticfold_gateway_KnowledgeRequest_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_masticfold_gateway_KnowledgeRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_KnowledgeRequest_descriptor,
         new java.lang.String[] { "Revisions", });
     internal_static_masticfold_gateway_KnownRevision_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_masticfold_gateway_KnownRevision_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_KnownRevision_descriptor,
         new java.lang.String[] { "Kind", "Revision", });
     internal_static_masticfold_gateway_Knowledge_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_masticfold_gateway_Knowledge_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_Knowledge_descriptor,
         new java.lang.String[] { "Kinds", });
     internal_static_masticfold_gateway_KnownKind_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_masticfold_gateway_KnownKind_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_KnownKind_descriptor,
         new java.lang.String[] { "Kind", "Revision", "Objects", });
     internal_static_masticfold_gateway_KnownObject_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_masticfold_gateway_KnownObject_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_KnownObject_descriptor,
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerStatus.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerStatus.java
@@ -33,6 +33,7 @@
   }
   private PeerStatus() {
     servers_ = java.util.Collections.emptyList();
+    commitments_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -109,6 +110,47 @@
     return draining_;
   }
 
+  public static final int COMMITMENTS_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private java.util.List<io.masticfold.gateway.peer.proto.PoolCommitment> commitments_;
+  /**
+   * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.masticfold.gateway.peer.proto.PoolCommitment> getCommitmentsList() {
+    return commitments_;
+  }
+  /**
+   * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.masticfold.gateway.peer.proto.PoolCommitmentOrBuilder> 
+      getCommitmentsOrBuilderList() {
+    return commitments_;
+  }
+  /**
+   * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+   */
+  @java.lang.Override
+  public int getCommitmentsCount() {
+    return commitments_.size();
+  }
+  /**
+   * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+   */
+  @java.lang.Override
+  public io.masticfold.gateway.peer.proto.PoolCommitment getCommitments(int index) {
+    return commitments_.get(index);
+  }
+  /**
+   * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+   */
+  @java.lang.Override
+  public io.masticfold.gateway.peer.proto.PoolCommitmentOrBuilder getCommitmentsOrBuilder(
+      int index) {
+    return commitments_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -129,6 +171,9 @@
     if (draining_ != false) {
       output.writeBool(2, draining_);
     }
+    for (int i = 0; i < commitments_.size(); i++) {
+      output.writeMessage(3, commitments_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -146,6 +191,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(2, draining_);
     }
+
+        {
+          final int count = commitments_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(commitments_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -174,6 +228,8 @@
         .equals(other.getServersList())) return false;
     if (getDraining()
         != other.getDraining()) return false;
+    if (!getCommitmentsList()
+        .equals(other.getCommitmentsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -192,6 +248,10 @@
     hash = (37 * hash) + DRAINING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getDraining());
+    if (getCommitmentsCount() > 0) {
+      hash = (37 * hash) + COMMITMENTS_FIELD_NUMBER;
+      hash = (53 * hash) + getCommitmentsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -335,6 +395,13 @@
       }
       bitField0_ = (bitField0_ & ~0x00000001);
       draining_ = false;
+      if (commitmentsBuilder_ == null) {
+        commitments_ = java.util.Collections.emptyList();
+      } else {
+        commitments_ = null;
+        commitmentsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000004);
       return this;
     }
 
@@ -377,6 +444,15 @@
       } else {
         result.servers_ = serversBuilder_.build();
       }
+      if (commitmentsBuilder_ == null) {
+        if (((bitField0_ & 0x00000004) != 0)) {
+          commitments_ = java.util.Collections.unmodifiableList(commitments_);
+          bitField0_ = (bitField0_ & ~0x00000004);
+        }
+        result.commitments_ = commitments_;
+      } else {
+        result.commitments_ = commitmentsBuilder_.build();
+      }
     }
 
     private void buildPartial0(io.masticfold.gateway.peer.proto.PeerStatus result) {
@@ -427,6 +503,32 @@
       if (other.getDraining() != false) {
         setDraining(other.getDraining());
       }
+      if (commitmentsBuilder_ == null) {
+        if (!other.commitments_.isEmpty()) {
+          if (commitments_.isEmpty()) {
+            commitments_ = other.commitments_;
+            bitField0_ = (bitField0_ & ~0x00000004);
+          } else {
+            ensureCommitmentsIsMutable();
+            commitments_.addAll(other.commitments_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.commitments_.isEmpty()) {
+          if (commitmentsBuilder_.isEmpty()) {
+            commitmentsBuilder_.dispose();
+            commitmentsBuilder_ = null;
+            commitments_ = other.commitments_;
+            bitField0_ = (bitField0_ & ~0x00000004);
+            commitmentsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetCommitmentsFieldBuilder() : null;
+          } else {
+            commitmentsBuilder_.addAllMessages(other.commitments_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -469,6 +571,19 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 26: {
+              io.masticfold.gateway.peer.proto.PoolCommitment m =
+                  input.readMessage(
+                      io.masticfold.gateway.peer.proto.PoolCommitment.parser(),
+                      extensionRegistry);
+              if (commitmentsBuilder_ == null) {
+                ensureCommitmentsIsMutable();
+                commitments_.add(m);
+              } else {
+                commitmentsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -764,6 +879,240 @@
       return this;
     }
 
+    private java.util.List<io.masticfold.gateway.peer.proto.PoolCommitment> commitments_ =
+      java.util.Collections.emptyList();
+    private void ensureCommitmentsIsMutable() {
+      if (!((bitField0_ & 0x00000004) != 0)) {
+        commitments_ = new java.util.ArrayList<io.masticfold.gateway.peer.proto.PoolCommitment>(commitments_);
+        bitField0_ |= 0x00000004;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.masticfold.gateway.peer.proto.PoolCommitment, io.masticfold.gateway.peer.proto.PoolCommitment.Builder, io.masticfold.gateway.peer.proto.PoolCommitmentOrBuilder> commitmentsBuilder_;
+
+    /**
+     * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+     */
+    public java.util.List<io.masticfold.gateway.peer.proto.PoolCommitment> getCommitmentsList() {
+      if (commitmentsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(commitments_);
+      } else {
+        return commitmentsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+     */
+    public int getCommitmentsCount() {
+      if (commitmentsBuilder_ == null) {
+        return commitments_.size();
+      } else {
+        return commitmentsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+     */
+    public io.masticfold.gateway.peer.proto.PoolCommitment getCommitments(int index) {
+      if (commitmentsBuilder_ == null) {
+        return commitments_.get(index);
+      } else {
+        return commitmentsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+     */
+    public Builder setCommitments(
+        int index, io.masticfold.gateway.peer.proto.PoolCommitment value) {
+      if (commitmentsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureCommitmentsIsMutable();
+        commitments_.set(index, value);
+        onChanged();
+      } else {
+        commitmentsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+     */
+    public Builder setCommitments(
+        int index, io.masticfold.gateway.peer.proto.PoolCommitment.Builder builderForValue) {
+      if (commitmentsBuilder_ == null) {
+        ensureCommitmentsIsMutable();
+        commitments_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        commitmentsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+     */
+    public Builder addCommitments(io.masticfold.gateway.peer.proto.PoolCommitment value) {
+      if (commitmentsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureCommitmentsIsMutable();
+        commitments_.add(value);
+        onChanged();
+      } else {
+        commitmentsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+     */
+    public Builder addCommitments(
+        int index, io.masticfold.gateway.peer.proto.PoolCommitment value) {
+      if (commitmentsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureCommitmentsIsMutable();
+        commitments_.add(index, value);
+        onChanged();
+      } else {
+        commitmentsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+     */
+    public Builder addCommitments(
+        io.masticfold.gateway.peer.proto.PoolCommitment.Builder builderForValue) {
+      if (commitmentsBuilder_ == null) {
+        ensureCommitmentsIsMutable();
+        commitments_.add(builderForValue.build());
+        onChanged();
+      } else {
+        commitmentsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+     */
+    public Builder addCommitments(
+        int index, io.masticfold.gateway.peer.proto.PoolCommitment.Builder builderForValue) {
+      if (commitmentsBuilder_ == null) {
+        ensureCommitmentsIsMutable();
+        commitments_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        commitmentsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+     */
+    public Builder addAllCommitments(
+        java.lang.Iterable<? extends io.masticfold.gateway.peer.proto.PoolCommitment> values) {
+      if (commitmentsBuilder_ == null) {
+        ensureCommitmentsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, commitments_);
+        onChanged();
+      } else {
+        commitmentsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+     */
+    public Builder clearCommitments() {
+      if (commitmentsBuilder_ == null) {
+        commitments_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+      } else {
+        commitmentsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+     */
+    public Builder removeCommitments(int index) {
+      if (commitmentsBuilder_ == null) {
+        ensureCommitmentsIsMutable();
+        commitments_.remove(index);
+        onChanged();
+      } else {
+        commitmentsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+     */
+    public io.masticfold.gateway.peer.proto.PoolCommitment.Builder getCommitmentsBuilder(
+        int index) {
+      return internalGetCommitmentsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+     */
+    public io.masticfold.gateway.peer.proto.PoolCommitmentOrBuilder getCommitmentsOrBuilder(
+        int index) {
+      if (commitmentsBuilder_ == null) {
+        return commitments_.get(index);  } else {
+        return commitmentsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+     */
+    public java.util.List<? extends io.masticfold.gateway.peer.proto.PoolCommitmentOrBuilder> 
+         getCommitmentsOrBuilderList() {
+      if (commitmentsBuilder_ != null) {
+        return commitmentsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(commitments_);
+      }
+    }
+    /**
+     * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+     */
+    public io.masticfold.gateway.peer.proto.PoolCommitment.Builder addCommitmentsBuilder() {
+      return internalGetCommitmentsFieldBuilder().addBuilder(
+          io.masticfold.gateway.peer.proto.PoolCommitment.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+     */
+    public io.masticfold.gateway.peer.proto.PoolCommitment.Builder addCommitmentsBuilder(
+        int index) {
+      return internalGetCommitmentsFieldBuilder().addBuilder(
+          index, io.masticfold.gateway.peer.proto.PoolCommitment.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+     */
+    public java.util.List<io.masticfold.gateway.peer.proto.PoolCommitment.Builder> 
+         getCommitmentsBuilderList() {
+      return internalGetCommitmentsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.masticfold.gateway.peer.proto.PoolCommitment, io.masticfold.gateway.peer.proto.PoolCommitment.Builder, io.masticfold.gateway.peer.proto.PoolCommitmentOrBuilder> 
+        internalGetCommitmentsFieldBuilder() {
+      if (commitmentsBuilder_ == null) {
+        commitmentsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.masticfold.gateway.peer.proto.PoolCommitment, io.masticfold.gateway.peer.proto.PoolCommitment.Builder, io.masticfold.gateway.peer.proto.PoolCommitmentOrBuilder>(
+                commitments_,
+                ((bitField0_ & 0x00000004) != 0),
+                getParentForChildren(),
+                isClean());
+        commitments_ = null;
+      }
+      return commitmentsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:masticfold.gateway.PeerStatus)
   }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerStatusOrBuilder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerStatusOrBuilder.java
@@ -43,4 +43,28 @@
    * @return The draining.
    */
   boolean getDraining();
+
+  /**
+   * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+   */
+  java.util.List<io.masticfold.gateway.peer.proto.PoolCommitment> 
+      getCommitmentsList();
+  /**
+   * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+   */
+  io.masticfold.gateway.peer.proto.PoolCommitment getCommitments(int index);
+  /**
+   * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+   */
+  int getCommitmentsCount();
+  /**
+   * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+   */
+  java.util.List<? extends io.masticfold.gateway.peer.proto.PoolCommitmentOrBuilder> 
+      getCommitmentsOrBuilderList();
+  /**
+   * <code>repeated .masticfold.gateway.PoolCommitment commitments = 3;</code>
+   */
+  io.masticfold.gateway.peer.proto.PoolCommitmentOrBuilder getCommitmentsOrBuilder(
+      int index);
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestReport.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestReport.java
@@ -3,6 +3,8 @@
 import io.masticfold.core.error.Ran;
 import io.masticfold.gateway.context.GatewayContext;
 import io.masticfold.gateway.log.GatewayEvent;
+import io.masticfold.gateway.stage.StageRun;
+import java.time.Duration;
 import java.util.Locale;
 
 /** Notes when a request reached each step, and logs and counts its end. Used by one thread. */
@@ -13,6 +15,8 @@
 
     private final GatewayContext context;
     private final RequestPlan plan;
+    private long stagesBegunMillis = NOT_REACHED;
+    private long stagesExpectedMillis = NOT_REACHED;
     private long stagesDoneMillis = NOT_REACHED;
     private long sentMillis = NOT_REACHED;
     private long firstEventMillis = NOT_REACHED;
@@ -22,6 +26,15 @@
         this.plan = plan;
     }
 
+    /** Notes when the stages began, and what was expected of them; nothing if they have not. */
+    void stages(StageRun run) {
+        Duration expected = run.expectedTime();
+        if (expected != null) {
+            stagesBegunMillis = sinceStart(run.begunNanos());
+            stagesExpectedMillis = expected.toMillis();
+        }
+    }
+
     void stagesDone() {
         stagesDoneMillis = sinceStart();
     }
@@ -54,6 +67,8 @@
                 .addKeyValue("detail", detail)
                 .addKeyValue("sends", sends)
                 .addKeyValue("events", events)
+                .addKeyValue("stagesBegunMillis", stagesBegunMillis)
+                .addKeyValue("stagesExpectedMillis", stagesExpectedMillis)
                 .addKeyValue("stagesMillis", stagesDoneMillis)
                 .addKeyValue("sentMillis", sentMillis)
                 .addKeyValue("firstEventMillis", firstEventMillis)
@@ -63,6 +78,10 @@
     }
 
     private long sinceStart() {
-        return (long) ((context.scheduler().nanoTime() - plan.request().receivedNanos()) / NANOS_PER_MILLI);
+        return sinceStart(context.scheduler().nanoTime());
+    }
+
+    private long sinceStart(long nanos) {
+        return (long) ((nanos - plan.request().receivedNanos()) / NANOS_PER_MILLI);
     }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -376,6 +376,9 @@
     }
 
     private void report(GatewayEvent event, String outcome, String detail) {
+        if (stageRun != null) {
+            report.stages(stageRun);
+        }
         report.end(event, outcome, ran, sends, progress == null ? 0 : progress.events(), detail);
     }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageGate.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageGate.java
@@ -34,7 +34,7 @@
         long now = context.scheduler().nanoTime();
         StagePath path = run.path();
         switch (verdict(run, path, now)) {
-            case START -> run.begin();
+            case START -> run.begin(path.expected());
             case REFUSE -> refuseLater(run);
             case WAIT -> {
                 if (StageAdmission.hopeless(
@@ -94,14 +94,15 @@
         waiting.sort(ORDER);
         int begun = 0;
         for (StageRun run : List.copyOf(waiting)) {
-            StageAdmission.Verdict verdict = verdict(run, run.path(), now);
+            StagePath path = run.path();
+            StageAdmission.Verdict verdict = verdict(run, path, now);
             if (verdict == StageAdmission.Verdict.REFUSE) {
                 waiting.remove(run);
                 run.refuse();
             } else if (verdict == StageAdmission.Verdict.START && begun < BEGIN_AT_ONCE) {
                 begun++;
                 waiting.remove(run);
-                run.begin();
+                run.begin(path.expected());
             }
         }
         if (!waiting.isEmpty()) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageOwner.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageOwner.java
@@ -73,20 +73,16 @@
         return Optional.of(fresh);
     }
 
-    /**
-     * Returns the state of the queues for the peers.
-     *
-     * @param draining whether this gateway stops
-     */
-    PeerFrame status(boolean draining) {
+    /** Returns the state of the queues for the peers. */
+    PeerStatus.Builder status() {
         queues.entrySet().removeIf(entry -> gone(entry.getKey(), entry.getValue()));
-        PeerStatus.Builder status = PeerStatus.newBuilder().setDraining(draining);
+        PeerStatus.Builder status = PeerStatus.newBuilder();
         queues.forEach((server, queue) -> status.addServers(ServerBacklog.newBuilder()
                 .setServer(server)
                 .setBacklogMillis((int) queue.backlogMillis())
                 .setOnTimeBacklogMillis((int) queue.onTimeBacklogMillis())
                 .setRoomBytes(Math.max(0, queue.roomBytes()))));
-        return PeerFrame.newBuilder().setStatus(status).build();
+        return status;
     }
 
     private boolean gone(String server, StageServerQueue queue) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StagePools.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StagePools.java
@@ -10,6 +10,7 @@
 import io.masticfold.gateway.peer.PeerCaller;
 import io.masticfold.gateway.peer.PeerLinks;
 import io.masticfold.gateway.peer.proto.PeerFrame;
+import io.masticfold.gateway.peer.proto.PeerStatus;
 import io.masticfold.gateway.peer.proto.PieceReply;
 import io.masticfold.gateway.protocol.PieceOutcome;
 import java.time.Duration;
@@ -65,18 +66,24 @@
     private void tellStatus() {
         PeerLinks links = peers;
         if (links != null) {
-            links.broadcast(owner.status(draining));
+            links.broadcast(status());
         }
         context.scheduler().schedule(PeerLinks.STATUS_INTERVAL, this::tellStatus);
     }
 
+    private PeerFrame status() {
+        PeerStatus.Builder status = owner.status().setDraining(draining);
+        servers.commitments().tell(status);
+        return PeerFrame.newBuilder().setStatus(status).build();
+    }
+
     /** Gives the stage servers to the other gateways, since this one stops. */
     public void drain() {
         draining = true;
         servers.drain();
         PeerLinks links = peers;
         if (links != null) {
-            links.broadcast(owner.status(true));
+            links.broadcast(status());
         }
     }
 
@@ -170,6 +177,10 @@
         }
     }
 
+    long nanoTime() {
+        return context.scheduler().nanoTime();
+    }
+
     /** Returns what is known of the stage servers. */
     StageServers servers() {
         return servers;
@@ -309,7 +320,7 @@
     }
 
     /** Takes a frame of a peer that this gateway asked. */
-    public void answered(PeerFrame frame) {
+    public void answered(String peer, PeerFrame frame) {
         if (frame.hasReply()) {
             PieceReply reply = frame.getReply();
             PieceOutcome.Kind[] kinds = PieceOutcome.Kind.values();
@@ -319,12 +330,13 @@
         } else if (frame.hasInputsRead()) {
             inputsRead(frame.getInputsRead().getOrder());
         } else if (frame.hasStatus()) {
-            servers.told(frame.getStatus());
+            servers.told(peer, frame.getStatus());
         }
     }
 
     /** Sends the pieces that a lost peer was to make to others. */
     public void lost(String peer) {
+        servers.lost(peer);
         List<StageOrder> open = orders.values().stream()
                 .filter(order -> order.owner.equals(peer))
                 .toList();
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageRun.java
@@ -30,6 +30,8 @@
     private final List<PendingPiece> pending = new ArrayList<>();
     private final Map<Integer, Integer> committed = new HashMap<>();
     private final Map<Integer, List<StageResult>> results = new HashMap<>();
+    private @Nullable Duration expectedTime;
+    private long begunNanos;
     private boolean ended;
 
     /**
@@ -75,9 +77,15 @@
         return graph.complete();
     }
 
-    /** Starts the stages that read no other results. */
-    void begin() {
+    /**
+     * Starts the stages that read no other results.
+     *
+     * @param expected time that the stages are expected to take
+     */
+    void begin(Duration expected) {
         if (!ended) {
+            expectedTime = expected;
+            begunNanos = pools.nanoTime();
             for (int stage = 0; stage < stages.size(); stage++) {
                 commit(stage, graph.pieces(stage));
             }
@@ -87,7 +95,7 @@
 
     private void commit(int stage, int pieces) {
         committed.merge(stage, pieces, Integer::sum);
-        pools.servers().commit(stages.get(stage).pool(), pieces);
+        pools.servers().commitments().add(stages.get(stage).pool(), pieces);
     }
 
     /** Ends a run that has not begun. */
@@ -98,6 +106,16 @@
         }
     }
 
+    /** Returns the time that the stages were expected to take when they began; null before. */
+    public @Nullable Duration expectedTime() {
+        return expectedTime;
+    }
+
+    /** Returns the monotonic time at which the stages began; meaningful once they have. */
+    public long begunNanos() {
+        return begunNanos;
+    }
+
     boolean ended() {
         return ended;
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServers.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServers.java
@@ -28,7 +28,7 @@
     private final StageOwner owner;
     private final Map<String, StageServerNotes> notes = new HashMap<>();
     private final Map<String, StageTimes> times = new HashMap<>();
-    private final Map<String, Integer> committed = new HashMap<>();
+    private final StageCommitments commitments;
     private @Nullable PeerLinks peers;
     private boolean draining;
 
@@ -40,6 +40,7 @@
     StageServers(GatewayContext context, StageOwner owner) {
         this.context = context;
         this.owner = owner;
+        this.commitments = new StageCommitments(context.scheduler(), STATUS_AGE);
     }
 
     void start(PeerLinks links) {
@@ -52,7 +53,8 @@
     }
 
     /** Takes what a peer tells of the servers that it owns. */
-    void told(PeerStatus status) {
+    void told(String peer, PeerStatus status) {
+        commitments.told(peer, status);
         long now = context.scheduler().nanoTime();
         for (ServerBacklog server : status.getServersList()) {
             notes(server.getServer())
@@ -62,6 +64,11 @@
                 .removeIf(server -> context.view().directory().find(server).isEmpty());
     }
 
+    /** Forgets what a peer has told, since it cannot be reached. */
+    void lost(String peer) {
+        commitments.lost(peer);
+    }
+
     /** Finds the description of a stage pool. */
     Optional<StagePoolSpec> spec(String pool) {
         return Optional.ofNullable(context.view().config())
@@ -76,14 +83,14 @@
                 .orElse(Duration.ZERO);
     }
 
-    /** Notes pieces that requests which have begun will need of a pool; a negative number takes them back. */
-    void commit(String pool, int pieces) {
-        committed.merge(pool, pieces, Integer::sum);
+    /** Returns the pieces that begun requests still need, of all gateways. */
+    StageCommitments commitments() {
+        return commitments;
     }
 
     /**
      * Returns the shortest time until a new piece of a pool would start behind what waits there and what is on its way
-     * there. Other gateways are taken to have as much on its way as this one.
+     * there.
      *
      * @param onTime whether only requests that are on time count
      */
@@ -100,8 +107,7 @@
                 .orElseThrow();
         double pieceMillis =
                 spec.get().expectedMillis(spec.get().batch()) / spec.get().batch();
-        int gateways = context.view().sharingGateways();
-        double coming = committed.getOrDefault(pool, 0) * gateways * pieceMillis / servers.size();
+        double coming = commitments.pieces(pool) * pieceMillis / servers.size();
         return Duration.ofMillis((long) (shortest + coming));
     }
 
--- a/masticfold-gateway/src/test/java/io/masticfold/gateway/stage/StageServerAccountTests.java
+++ b/masticfold-gateway/src/test/java/io/masticfold/gateway/stage/StageServerAccountTests.java
@@ -2,9 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.masticfold.core.time.TimeSource;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -14,7 +12,7 @@
     private static final long TOTAL = 1_000;
     private static final Duration KEEP = Duration.ofSeconds(4);
 
-    private final Clock time = new Clock();
+    private final TestTime time = new TestTime();
     private final StageServerAccount account = new StageServerAccount(time);
 
     @Test
@@ -32,7 +30,7 @@
     @Test
     void resultsEndWithTheirKeepTime() {
         account.keep("a", 300, KEEP);
-        time.nanos += KEEP.toNanos() + 1;
+        time.advance(KEEP.plusNanos(1));
 
         assertThat(account.roomBytes(TOTAL)).isEqualTo(TOTAL);
     }
@@ -44,9 +42,9 @@
         account.noRoom(TOTAL);
 
         assertThat(account.roomBytes(TOTAL)).isZero();
-        time.nanos += StageServerAccount.FOREIGN_TIME.toNanos() / 2;
+        time.advance(StageServerAccount.FOREIGN_TIME.dividedBy(2));
         assertThat(account.roomBytes(TOTAL)).isBetween(300L, 400L);
-        time.nanos += StageServerAccount.FOREIGN_TIME.toNanos();
+        time.advance(StageServerAccount.FOREIGN_TIME);
         assertThat(account.roomBytes(TOTAL)).isEqualTo(700);
     }
 
@@ -60,20 +58,4 @@
         assertThat(account.takeReleased()).containsExactly("a");
         assertThat(account.evict()).isFalse();
     }
-
-    /** Gives the time that the test sets. */
-    private static final class Clock implements TimeSource {
-
-        private long nanos;
-
-        @Override
-        public long nanoTime() {
-            return nanos;
-        }
-
-        @Override
-        public Instant now() {
-            return Instant.EPOCH;
-        }
-    }
 }
--- /dev/null
+++ b/masticfold-gateway/src/test/java/io/masticfold/gateway/stage/TestTime.java
@@ -0,0 +1,25 @@
+package io.masticfold.gateway.stage;
+
+import io.masticfold.core.time.TimeSource;
+import java.time.Duration;
+import java.time.Instant;
+
+/** Gives the time that a test sets. */
+final class TestTime implements TimeSource {
+
+    private long nanos;
+
+    void advance(Duration length) {
+        nanos += length.toNanos();
+    }
+
+    @Override
+    public long nanoTime() {
+        return nanos;
+    }
+
+    @Override
+    public Instant now() {
+        return Instant.EPOCH;
+    }
+}
