--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageCommitments.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageCommitments.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 
 /**
- * Counts the pieces that requests will need which have begun: they are in no queue yet, but what begins now waits behind
+ * Counts the pieces that begun requests will need: they are in no queue yet, but what begins now waits behind
  * them. Every gateway tells its own count. One gateway may have all the requests while the others stop, so multiplying
  * its own count by the number of gateways would hold back what the servers could do. Used by one thread.
  */
