Tell refused callers to come back when the stage pools have drained

Ruled out: holding requests for a shorter time (more of them refused twice).

Change: the caller is told the time that the longest waiting request before it has waited, plus the backlog, as far as it can still be served then, and spread by a quarter.

--- a/masticfold-core/src/main/java/io/masticfold/core/stage/StageAdmission.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/stage/StageAdmission.java
@@ -58,6 +58,22 @@
         return longestWait.toMillis() > most;
     }
 
+    /**
+     * Returns the time after which the caller of a refused request may come back. A new request would wait about as
+     * long as the one before it that has waited longest; a caller that comes back earlier is refused again. It still
+     * has to be in time for being served.
+     *
+     * @param longestWait time that the request has waited that has waited longest among those before it
+     * @param path what is known of the pools that its stages need
+     * @param toDeadline time left until it is given up
+     */
+    public static Duration comeBack(Duration longestWait, StagePath path, Duration toDeadline) {
+        Duration drained = longestWait.plus(path.longestBacklog());
+        Duration latest = toDeadline.minus(path.unloaded()).dividedBy(2);
+        Duration after = drained.compareTo(latest) < 0 ? drained : latest;
+        return after.isNegative() ? Duration.ZERO : after;
+    }
+
     /** States what is done with a request. */
     public enum Verdict {
         /** The first stages start. */
--- a/masticfold-core/src/test/java/io/masticfold/core/stage/StageAdmissionTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/stage/StageAdmissionTests.java
@@ -45,6 +45,16 @@
                 .isEqualTo(hopeless);
     }
 
+    /** Replays a burst of six seconds: a caller told to come back at once was refused a second time. */
+    @ParameterizedTest
+    @CsvSource({"0, 0, 8000, 0", "2000, 400, 8000, 2400", "4600, 400, 8000, 3700", "4600, 400, 500, 0"})
+    void aRefusedCallerComesBackWhenThePoolsHaveDrainedAndStillInTime(
+            long waited, long backlog, long toDeadline, long after) {
+        assertThat(StageAdmission.comeBack(
+                        Duration.ofMillis(waited), path(600, 700, backlog), Duration.ofMillis(toDeadline)))
+                .isEqualTo(Duration.ofMillis(after));
+    }
+
     @Test
     void anOverloadedPoolKeepsWhatItBeganInTime() {
         // 15 requests a second come to a pool that serves 13; results end 4 s after they were made.
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/FinalAnswer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/FinalAnswer.java
@@ -25,6 +25,9 @@
     /** Time over which returning callers are spread. */
     private static final Duration RETRY_SPREAD = Duration.ofMillis(400);
 
+    /** Callers come back within this part of the time until they are likely to be served. */
+    private static final int SPREAD_PART = 4;
+
     private static final double MILLIS_PER_SECOND = 1000;
 
     private final GatewayContext context;
@@ -58,16 +61,17 @@
      *
      * @param ran what is known about the execution
      * @param left time that the caller still waits
+     * @param comeBack time after which the caller is likely to be served; zero if unknown
      */
-    void refuse(ErrorKind kind, Ran ran, Duration left) {
+    void refuse(ErrorKind kind, Ran ran, Duration left, Duration comeBack) {
         context.telemetry().refused(kind);
         int status = status(kind, ran);
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
         headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
-        boolean comeBack = status == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
+        boolean mayComeBack = status == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
                 || status == HttpResponseStatus.TOO_MANY_REQUESTS.code();
-        if (comeBack) {
-            headers.set(HttpHeaderNames.RETRY_AFTER, retryAfter(left));
+        if (mayComeBack) {
+            headers.set(HttpHeaderNames.RETRY_AFTER, retryAfter(left, comeBack));
         }
         String body = "{\"kind\":\"" + kind.code() + "\",\"ran\":\"" + ran.code() + "\"}\n";
         answer.send(status, headers, Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
@@ -84,9 +88,11 @@
         return kind.httpStatus();
     }
 
-    private static String retryAfter(Duration left) {
-        long spread = ThreadLocalRandom.current().nextLong(RETRY_SPREAD.toMillis());
-        long millis = Math.min(SHORTEST_RETRY_AFTER.toMillis() + spread, Math.max(1, left.toMillis() / 4));
+    private static String retryAfter(Duration left, Duration comeBack) {
+        long spread = ThreadLocalRandom.current()
+                .nextLong(RETRY_SPREAD.plus(comeBack.dividedBy(SPREAD_PART)).toMillis());
+        long soon = Math.min(SHORTEST_RETRY_AFTER.toMillis() + spread, Math.max(1, left.toMillis() / 4));
+        long millis = comeBack.isZero() ? soon : comeBack.toMillis() + spread;
         return String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND);
     }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
@@ -152,7 +152,7 @@
     private CallerListener refuse(
             CallerRequest request, CallerMetadata metadata, CallerAnswer answer, ErrorKind kind, String detail) {
         new FinalAnswer(context, answer)
-                .refuse(kind, Ran.NO, Duration.ofMillis(Math.max(0, metadata.deadlineMillis())));
+                .refuse(kind, Ran.NO, Duration.ofMillis(Math.max(0, metadata.deadlineMillis())), Duration.ZERO);
         context.log()
                 .failure(GatewayEvent.REQUEST_REFUSED)
                 .addKeyValue("request", metadata.attemptId())
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -148,6 +148,13 @@
         }
     }
 
+    @Override
+    public void stagesRefused(Duration comeBack) {
+        if (!ended) {
+            fail(ErrorKind.STAGE_TIMEOUT, "stages would be too late", comeBack);
+        }
+    }
+
     private void place() {
         ForwardConfig config = context.view().config();
         Optional<PoolSpec> spec = config == null ? Optional.empty() : config.pool(plan.pool());
@@ -345,12 +352,16 @@
     }
 
     private void fail(ErrorKind kind, String detail) {
+        fail(kind, detail, Duration.ZERO);
+    }
+
+    private void fail(ErrorKind kind, String detail, Duration comeBack) {
         if (progress != null && progress.started()) {
             abort(kind, detail);
             return;
         }
         end();
-        answer.refuse(kind, ran, remaining());
+        answer.refuse(kind, ran, remaining(), comeBack);
         report(ran == Ran.NO ? GatewayEvent.REQUEST_REFUSED : GatewayEvent.REQUEST_FAILED, kind.code(), detail);
     }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageGate.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageGate.java
@@ -35,11 +35,12 @@
         StagePath path = run.path();
         switch (verdict(run, path, now)) {
             case START -> run.begin(path.expected());
-            case REFUSE -> refuseLater(run);
+            case REFUSE -> refuseLater(run, Duration.ZERO);
             case WAIT -> {
-                if (StageAdmission.hopeless(
-                        longestWait(run, now), path, run.deadline().remaining(context.scheduler()))) {
-                    refuseLater(run);
+                Duration longestWait = longestWait(run, now);
+                Duration left = run.deadline().remaining(context.scheduler());
+                if (StageAdmission.hopeless(longestWait, path, left)) {
+                    refuseLater(run, StageAdmission.comeBack(longestWait, path, left));
                 } else {
                     waiting.add(run);
                     arm();
@@ -53,7 +54,7 @@
     public void refuseAll() {
         List<StageRun> refused = List.copyOf(waiting);
         waiting.clear();
-        refused.forEach(StageRun::refuse);
+        refused.forEach(run -> run.refuse(Duration.ZERO));
     }
 
     /** Returns the number of requests that wait. */
@@ -74,8 +75,8 @@
         return Duration.ofNanos(longest);
     }
 
-    private void refuseLater(StageRun run) {
-        context.scheduler().schedule(Duration.ZERO, run::refuse);
+    private void refuseLater(StageRun run, Duration comeBack) {
+        context.scheduler().schedule(Duration.ZERO, () -> run.refuse(comeBack));
     }
 
     private void arm() {
@@ -98,7 +99,7 @@
             StageAdmission.Verdict verdict = verdict(run, path, now);
             if (verdict == StageAdmission.Verdict.REFUSE) {
                 waiting.remove(run);
-                run.refuse();
+                run.refuse(Duration.ZERO);
             } else if (verdict == StageAdmission.Verdict.START && begun < BEGIN_AT_ONCE) {
                 begun++;
                 waiting.remove(run);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageRun.java
@@ -98,11 +98,15 @@
         pools.servers().commitments().add(stages.get(stage).pool(), pieces);
     }
 
-    /** Ends a run that has not begun. */
-    void refuse() {
+    /**
+     * Ends a run that has not begun.
+     *
+     * @param comeBack time after which the pools are likely to have drained
+     */
+    void refuse(Duration comeBack) {
         if (!ended) {
             ended = true;
-            listener.stagesFailed(PieceOutcome.Kind.LATE);
+            listener.stagesRefused(comeBack);
         }
     }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageRunListener.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageRunListener.java
@@ -1,6 +1,7 @@
 package io.masticfold.gateway.stage;
 
 import io.masticfold.gateway.protocol.PieceOutcome;
+import java.time.Duration;
 import java.util.List;
 
 /** Receives the end of the stages of one request, never inside the call that starts them. */
@@ -11,4 +12,11 @@
 
     /** A result could not be made. */
     void stagesFailed(PieceOutcome.Kind kind);
+
+    /**
+     * The stages were not begun, since the results would be too late.
+     *
+     * @param comeBack time after which the pools are likely to have drained
+     */
+    void stagesRefused(Duration comeBack);
 }
