--- a/masticfold-core/src/main/java/io/masticfold/core/stage/BatchSupport.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/stage/BatchSupport.java
@@ -1,5 +1,6 @@
 package io.masticfold.core.stage;
 
+import io.masticfold.core.forward.StagePoolSpec;
 import java.util.List;
 
 /**
@@ -43,6 +44,17 @@
         return size;
     }
 
+    /**
+     * Returns the time that a server of usual speed needs before a new piece starts, in milliseconds. A call that is
+     * not full yet takes the new piece along.
+     *
+     * @param pieces pieces that wait
+     */
+    public static double queueMillis(StagePoolSpec spec, int pieces) {
+        int calls = pieces / spec.batch();
+        return calls * spec.expectedMillis(spec.batch()) + pieces % spec.batch() * spec.pieceMillis();
+    }
+
     private static int groupEnd(List<String> requests, int start) {
         int end = start;
         while (end < requests.size() && requests.get(end).equals(requests.get(start))) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StoreDialect.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StoreDialect.java
@@ -20,9 +20,6 @@
     /** Returns the path and query of a call that waits for changes after a revision. */
     String watchUri(StoreKind kind, long revision, Duration wait);
 
-    /** Returns the path of one object. */
-    String objectUri(StoreKind kind, String name);
-
     /** Returns the path under which objects of a kind are created. */
     String createUri(StoreKind kind);
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageRun.java
@@ -142,46 +142,7 @@
 
     /** Returns what is known of the pools along the longest chain. */
     StagePath path() {
-        Duration unloaded = Duration.ZERO;
-        Duration expected = Duration.ZERO;
-        Duration backlog = Duration.ZERO;
-        for (int stage = 0; stage < stages.size(); stage++) {
-            if (graph.pieces(stage) > 0) {
-                unloaded = longer(unloaded, finish(stage, false));
-                expected = longer(expected, finish(stage, true));
-                backlog = longer(backlog, wait(stage, start(stage, false), false));
-            }
-        }
-        return new StagePath(unloaded, expected, backlog);
-    }
-
-    /** Returns the time from now to the end of a stage, with or without what has to be done before it. */
-    private Duration finish(int stage, boolean loaded) {
-        Duration start = start(stage, loaded);
-        Duration call = pools.servers().callTime(stages.get(stage).pool(), graph.pieces(stage));
-        Duration end = start.plus(call);
-        return loaded ? end.plus(wait(stage, start, true)) : end;
-    }
-
-    private Duration start(int stage, boolean loaded) {
-        Duration start = Duration.ZERO;
-        for (int before : stages.get(stage).after()) {
-            if (graph.pieces(before) > 0) {
-                start = longer(start, finish(before, loaded));
-            }
-        }
-        return start;
-    }
-
-    /** Returns what is left of the backlog of a stage's pool when the request reaches it. */
-    private Duration wait(int stage, Duration start, boolean onTime) {
-        Duration left =
-                pools.servers().backlog(stages.get(stage).pool(), onTime).minus(start);
-        return longer(left, Duration.ZERO);
-    }
-
-    private static Duration longer(Duration one, Duration other) {
-        return one.compareTo(other) >= 0 ? one : other;
+        return new StageForecast(pools.servers(), stages, graph).path();
     }
 
     /** Gives up the pieces that are not made and releases every result. */
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerQueue.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerQueue.java
@@ -6,7 +6,6 @@
 import io.masticfold.core.stage.BatchSupport;
 import io.masticfold.gateway.context.GatewayContext;
 import io.masticfold.gateway.http.CallResult;
-import io.masticfold.gateway.log.GatewayEvent;
 import io.masticfold.gateway.protocol.PieceOutcome;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.time.Duration;
@@ -43,6 +42,7 @@
     private final TargetRecord server;
     private final StageServerAccount account;
     private final StageReleases releases;
+    private final StageCallLog callLog;
     private final List<QueuedPiece> waiting = new ArrayList<>();
     private @Nullable StageCall current;
     private int callsGivenUp;
@@ -54,6 +54,7 @@
         this.pool = pool;
         this.server = server;
         this.account = new StageServerAccount(context.scheduler());
+        this.callLog = new StageCallLog(context.log(), pool, server.id());
         this.releases = new StageReleases(context, server, account, this::spec, () -> pumpAfter(Duration.ZERO));
     }
 
@@ -109,11 +110,9 @@
         if (spec.isEmpty()) {
             return 0;
         }
-        int calls = pieces / spec.get().batch();
-        // A call that is not full yet takes a new piece along.
-        double queue = calls * spec.get().expectedMillis(spec.get().batch())
-                + pieces % spec.get().batch() * spec.get().pieceMillis();
-        return account.pauseMillis() + account.remainingMillis() + account.slowness() * queue;
+        return account.pauseMillis()
+                + account.remainingMillis()
+                + account.slowness() * BatchSupport.queueMillis(spec.get(), pieces);
     }
 
     long roomBytes() {
@@ -205,7 +204,7 @@
         current = null;
         callsGivenUp++;
         account.callEnded();
-        logFailure(call, problem);
+        callLog.failed(call, problem);
         giveBack(call.pieces());
         pumpAfter(Duration.ZERO);
     }
@@ -240,7 +239,7 @@
                 }
                 releases.release(unused, false);
             } catch (MasticfoldException e) {
-                logFailure(call, "malformed late answer: " + e.getMessage());
+                callLog.failed(call, "malformed late answer: " + e.getMessage());
             }
         }
     }
@@ -248,33 +247,13 @@
     private void endedInTime(StageCall call, CallResult result) {
         String problem = settleCall(call.spec(), call.pieces(), result);
         if (!problem.isEmpty()) {
-            logFailure(call, problem);
+            callLog.failed(call, problem);
             return;
         }
         fullAnswers = 0;
         account.measured(call.elapsedMillis() / call.expectedMillis());
         context.telemetry().stage(pool, call.pieces().size(), (long) (call.elapsedMillis() * NANOS_PER_MILLI));
-        context.log()
-                .routine(GatewayEvent.STAGE_CALLED)
-                .addKeyValue("pool", pool)
-                .addKeyValue("target", server.id())
-                .addKeyValue("pieces", call.pieces().size())
-                .addKeyValue("callMillis", (long) call.elapsedMillis())
-                .addKeyValue("expectedMillis", (long) call.expectedMillis())
-                .addKeyValue("waiting", waiting.size())
-                .addKeyValue("roomBytes", account.roomBytes(call.spec().roomBytes()))
-                .log();
-    }
-
-    private void logFailure(StageCall call, String problem) {
-        context.log()
-                .failure(GatewayEvent.STAGE_CALL_FAILED)
-                .addKeyValue("pool", pool)
-                .addKeyValue("target", server.id())
-                .addKeyValue("pieces", call.pieces().size())
-                .addKeyValue("afterMillis", (long) call.elapsedMillis())
-                .addKeyValue("problem", problem)
-                .log();
+        callLog.made(call, waiting.size(), account.roomBytes(call.spec().roomBytes()));
     }
 
     /** Deals with the answer of a call; returns what went wrong, or an empty text. */
