Keep what log events share in one record; name the numbers of default settings

Cause: seven enums repeated the same fields and accessors, and the default settings were numbers in calls without unit or source. Change: EventLine holds number, level and template, LogEvent reads them from it; every number has a constant with its unit and one line on its source, which says so where it was chosen and not measured. No behaviour changes.

--- a/masticfold-agent/src/main/java/io/masticfold/agent/AgentEvent.java
+++ b/masticfold-agent/src/main/java/io/masticfold/agent/AgentEvent.java
@@ -1,5 +1,6 @@
 package io.masticfold.agent;
 
+import io.masticfold.core.telemetry.EventLine;
 import io.masticfold.core.telemetry.LogEvent;
 import org.slf4j.event.Level;
 
@@ -16,28 +17,14 @@
     CANCEL_FAILED(4009, Level.INFO, "target {} did not take the cancellation of attempt {}: {}"),
     LOOP_TASK_FAILED(4010, Level.ERROR, "a task of the event loop failed in {}");
 
-    private final int number;
-    private final Level level;
-    private final String template;
+    private final EventLine line;
 
     AgentEvent(int number, Level level, String template) {
-        this.number = number;
-        this.level = level;
-        this.template = template;
+        line = new EventLine(number, level, template);
     }
 
     @Override
-    public int number() {
-        return number;
-    }
-
-    @Override
-    public Level level() {
-        return level;
-    }
-
-    @Override
-    public String template() {
-        return template;
+    public EventLine line() {
+        return line;
     }
 }
--- a/masticfold-core/src/main/java/io/masticfold/core/claim/ClaimSettings.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/claim/ClaimSettings.java
@@ -20,12 +20,30 @@
         int rounds,
         int keptResultBytes) {
 
+    /** Wait for the store, which answers in milliseconds when it is well. */
+    private static final Duration OPERATION_TIMEOUT = Duration.ofMillis(500);
+
+    /** Wait for an agent, which answers from memory. */
+    private static final Duration SEAL_TIMEOUT = Duration.ofMillis(300);
+
+    /** Reads and repeated writes: with the operation's wait, two seconds of an eight-second deadline. */
+    private static final int READ_BACKS = 4;
+
+    /** Pause before a read is repeated: five answers of a store that takes 4 ms. */
+    private static final Duration READ_BACK_DELAY = Duration.ofMillis(20);
+
+    /** Fresh starts; chosen, not measured: each means that one more entry has moved the claim. */
+    private static final int ROUNDS = 4;
+
+    /** Largest kept result, in bytes; chosen, not measured, so that a claim stays a small object of the store. */
+    private static final int KEPT_RESULT_BYTES = 64 * 1024;
+
     /**
      * Waits half a second for the store, which answers in milliseconds when it is well, and 300 ms for an agent, which
      * answers from memory.
      */
     public static final ClaimSettings DEFAULT =
-            new ClaimSettings(Duration.ofMillis(500), Duration.ofMillis(300), 4, Duration.ofMillis(20), 4, 64 * 1024);
+            new ClaimSettings(OPERATION_TIMEOUT, SEAL_TIMEOUT, READ_BACKS, READ_BACK_DELAY, ROUNDS, KEPT_RESULT_BYTES);
 
     /** Checks the ranges. */
     public ClaimSettings {
--- a/masticfold-core/src/main/java/io/masticfold/core/forward/RequestLimits.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/forward/RequestLimits.java
@@ -12,9 +12,21 @@
  */
 public record RequestLimits(int maxHeaderBytes, int maxBodyBytes, Duration headerTimeout, Duration idleTimeout) {
 
+    /** Bytes of line and headers: twice the 8 KiB that common servers take. */
+    private static final int MAX_HEADER_BYTES = 16 * 1024;
+
+    /** Bytes of a body: what the configurations of the users' sites allow. */
+    private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+    /** Time for the headers; chosen, not measured: three retransmissions of TCP, and short against slow senders. */
+    private static final Duration HEADER_TIMEOUT = Duration.ofSeconds(3);
+
+    /** Time without a request; chosen, not measured. */
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(15);
+
     /** Bounds before a configuration is known. */
     public static final RequestLimits DEFAULT =
-            new RequestLimits(16 * 1024, 4 * 1024 * 1024, Duration.ofSeconds(3), Duration.ofSeconds(15));
+            new RequestLimits(MAX_HEADER_BYTES, MAX_BODY_BYTES, HEADER_TIMEOUT, IDLE_TIMEOUT);
 
     /** Checks the ranges. */
     public RequestLimits {
--- a/masticfold-core/src/main/java/io/masticfold/core/membership/WatchElectionSettings.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/membership/WatchElectionSettings.java
@@ -14,12 +14,27 @@
 public record WatchElectionSettings(
         int slots, Duration staleAfter, Duration spread, Duration contendFor, Duration lookEvery) {
 
+    /** Watchers of a region: one is left when a VM and an availability zone fail together. */
+    private static final int SLOTS = 3;
+
+    /** Age of the last confirmation, under the 3 s within which a change has to be in force. */
+    private static final Duration STALE_AFTER = Duration.ofMillis(2_500);
+
+    /** Random delay: spreads the entries of a region over some hundred claims a second at most. */
+    private static final Duration SPREAD = Duration.ofSeconds(2);
+
+    /** Time for one slot; chosen, not measured: a holder that has died is found out within it. */
+    private static final Duration CONTEND_FOR = Duration.ofSeconds(15);
+
+    /** Time between two looks: eleven reads a second of 1,900 entries. */
+    private static final Duration LOOK_EVERY = Duration.ofMinutes(3);
+
     /**
      * The settings used unless others are given. Three watchers survive the loss of a VM and of an availability zone
      * without a pause; 1,900 entries that look every three minutes make eleven reads a second.
      */
-    public static final WatchElectionSettings DEFAULT = new WatchElectionSettings(
-            3, Duration.ofMillis(2_500), Duration.ofSeconds(2), Duration.ofSeconds(15), Duration.ofMinutes(3));
+    public static final WatchElectionSettings DEFAULT =
+            new WatchElectionSettings(SLOTS, STALE_AFTER, SPREAD, CONTEND_FOR, LOOK_EVERY);
 
     /** Checks the ranges. */
     public WatchElectionSettings {
--- a/masticfold-core/src/main/java/io/masticfold/core/telemetry/CoreEvent.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/telemetry/CoreEvent.java
@@ -11,28 +11,14 @@
     /** A listener threw; the other actions of the gate went on. */
     GATE_ACTION_FAILED(1003, Level.ERROR, "an action of the gate failed");
 
-    private final int number;
-    private final Level level;
-    private final String template;
+    private final EventLine line;
 
     CoreEvent(int number, Level level, String template) {
-        this.number = number;
-        this.level = level;
-        this.template = template;
+        line = new EventLine(number, level, template);
     }
 
     @Override
-    public int number() {
-        return number;
-    }
-
-    @Override
-    public Level level() {
-        return level;
-    }
-
-    @Override
-    public String template() {
-        return template;
+    public EventLine line() {
+        return line;
     }
 }
--- a/masticfold-core/src/main/java/io/masticfold/core/telemetry/LogEvent.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/telemetry/LogEvent.java
@@ -6,14 +6,23 @@
 /** Represents a numbered log event; implemented by one enum per module and listed in {@code docs/events.md}. */
 public interface LogEvent {
 
+    /** Returns the number, the level and the template. */
+    EventLine line();
+
     /** Returns the number, unique over all modules. */
-    int number();
+    default int number() {
+        return line().number();
+    }
 
     /** Returns the level. */
-    Level level();
+    default Level level() {
+        return line().level();
+    }
 
     /** Returns the SLF4J message template. */
-    String template();
+    default String template() {
+        return line().template();
+    }
 
     /**
      * Writes the event, prefixed with its number.
--- a/masticfold-entry/src/main/java/io/masticfold/entry/EntryEvent.java
+++ b/masticfold-entry/src/main/java/io/masticfold/entry/EntryEvent.java
@@ -1,5 +1,6 @@
 package io.masticfold.entry;
 
+import io.masticfold.core.telemetry.EventLine;
 import io.masticfold.core.telemetry.LogEvent;
 import org.slf4j.event.Level;
 
@@ -14,28 +15,14 @@
     START_FAILED(5006, Level.ERROR, "entry {} did not start: {}"),
     REQUEST_FAILED(5007, Level.INFO, "request {} of workspace {} to pipeline {} failed: {} (ran {}, effects {})");
 
-    private final int number;
-    private final Level level;
-    private final String template;
+    private final EventLine line;
 
     EntryEvent(int number, Level level, String template) {
-        this.number = number;
-        this.level = level;
-        this.template = template;
+        line = new EventLine(number, level, template);
     }
 
     @Override
-    public int number() {
-        return number;
-    }
-
-    @Override
-    public Level level() {
-        return level;
-    }
-
-    @Override
-    public String template() {
-        return template;
+    public EventLine line() {
+        return line;
     }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway.log;
 
+import io.masticfold.core.telemetry.EventLine;
 import io.masticfold.core.telemetry.LogEvent;
 import org.slf4j.event.Level;
 
@@ -38,28 +39,14 @@
     TASK_FAILED(6034, Level.ERROR, "a task of the event loop failed by a fault of the gateway"),
     CONNECTION_FAILED(6035, Level.ERROR, "a caller's connection failed by a fault of the gateway");
 
-    private final int number;
-    private final Level level;
-    private final String template;
+    private final EventLine line;
 
     GatewayEvent(int number, Level level, String template) {
-        this.number = number;
-        this.level = level;
-        this.template = template;
+        line = new EventLine(number, level, template);
     }
 
     @Override
-    public int number() {
-        return number;
-    }
-
-    @Override
-    public Level level() {
-        return level;
-    }
-
-    @Override
-    public String template() {
-        return template;
+    public EventLine line() {
+        return line;
     }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayMeters.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayMeters.java
@@ -12,24 +12,19 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.stream.LongStream;
 
 /** Counts and times what the gateway does, for the metrics page. Labels are kinds from closed lists or pool names. */
 public final class GatewayMeters implements Telemetry {
 
-    /** Bounds of the latency buckets: from a read in the own zone to the longest request. */
-    private static final Duration[] BUCKETS = {
-        Duration.ofMillis(10),
-        Duration.ofMillis(25),
-        Duration.ofMillis(50),
-        Duration.ofMillis(100),
-        Duration.ofMillis(250),
-        Duration.ofMillis(500),
-        Duration.ofMillis(1000),
-        Duration.ofMillis(2000),
-        Duration.ofMillis(4000),
-        Duration.ofMillis(8000),
-        Duration.ofMillis(16000)
-    };
+    /**
+     * Bounds of the latency buckets, in milliseconds: from a read in the own zone to the longest time-out of the users'
+     * routes, 10 s; a factor of 2 to 2.5 apart, so that a percentile is known to about that.
+     */
+    private static final long[] BUCKET_MILLIS = {10, 25, 50, 100, 250, 500, 1_000, 2_000, 4_000, 8_000, 16_000};
+
+    private static final Duration[] BUCKETS =
+            LongStream.of(BUCKET_MILLIS).mapToObj(Duration::ofMillis).toArray(Duration[]::new);
 
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final MicrometerTelemetry counters = new MicrometerTelemetry(registry);
--- a/masticfold-platform/src/main/java/io/masticfold/platform/event/PlatformEvent.java
+++ b/masticfold-platform/src/main/java/io/masticfold/platform/event/PlatformEvent.java
@@ -1,5 +1,6 @@
 package io.masticfold.platform.event;
 
+import io.masticfold.core.telemetry.EventLine;
 import io.masticfold.core.telemetry.LogEvent;
 import org.slf4j.event.Level;
 
@@ -20,28 +21,14 @@
     LEASE_LAPSED(3031, Level.WARN, "lease {} with fencing number {} lapsed: {}"),
     CONFIG_WATCH_ROLE(3032, Level.INFO, "this process is {} for the configuration watch, slot {}");
 
-    private final int number;
-    private final Level level;
-    private final String template;
+    private final EventLine line;
 
     PlatformEvent(int number, Level level, String template) {
-        this.number = number;
-        this.level = level;
-        this.template = template;
+        line = new EventLine(number, level, template);
     }
 
     @Override
-    public int number() {
-        return number;
-    }
-
-    @Override
-    public Level level() {
-        return level;
-    }
-
-    @Override
-    public String template() {
-        return template;
+    public EventLine line() {
+        return line;
     }
 }
--- a/masticfold-testkit/src/main/java/io/masticfold/testkit/http/TestkitEvent.java
+++ b/masticfold-testkit/src/main/java/io/masticfold/testkit/http/TestkitEvent.java
@@ -1,5 +1,6 @@
 package io.masticfold.testkit.http;
 
+import io.masticfold.core.telemetry.EventLine;
 import io.masticfold.core.telemetry.LogEvent;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -13,28 +14,14 @@
     /** Logger of the stand-ins. */
     public static final Logger LOGGER = LoggerFactory.getLogger(TestkitEvent.class);
 
-    private final int number;
-    private final Level level;
-    private final String template;
+    private final EventLine line;
 
     TestkitEvent(int number, Level level, String template) {
-        this.number = number;
-        this.level = level;
-        this.template = template;
+        line = new EventLine(number, level, template);
     }
 
     @Override
-    public int number() {
-        return number;
-    }
-
-    @Override
-    public Level level() {
-        return level;
-    }
-
-    @Override
-    public String template() {
-        return template;
+    public EventLine line() {
+        return line;
     }
 }
--- a/masticfold-wire/src/main/java/io/masticfold/wire/WireEvent.java
+++ b/masticfold-wire/src/main/java/io/masticfold/wire/WireEvent.java
@@ -1,5 +1,6 @@
 package io.masticfold.wire;
 
+import io.masticfold.core.telemetry.EventLine;
 import io.masticfold.core.telemetry.LogEvent;
 import org.slf4j.event.Level;
 
@@ -23,28 +24,14 @@
     ATTEMPT_REJECTED(2016, Level.WARN, "a message of attempt {} from {} is ignored: {}"),
     HANDLER_FAILED(2017, Level.ERROR, "the handler of connection {} failed");
 
-    private final int number;
-    private final Level level;
-    private final String template;
+    private final EventLine line;
 
     WireEvent(int number, Level level, String template) {
-        this.number = number;
-        this.level = level;
-        this.template = template;
+        line = new EventLine(number, level, template);
     }
 
     @Override
-    public int number() {
-        return number;
-    }
-
-    @Override
-    public Level level() {
-        return level;
-    }
-
-    @Override
-    public String template() {
-        return template;
+    public EventLine line() {
+        return line;
     }
 }
