Split the request path by concern; say that a gateway stops when it refuses for that

Change: RequestStages, StageRepeats, WaitingPieces and the forecast hold what they are named for; SendOutcome names its kind of error; StageRefusal tells the two refusals apart. The path decides as before.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -7,7 +7,6 @@
 import io.masticfold.core.forward.PoolSpec;
 import io.masticfold.core.forward.ResendPolicy;
 import io.masticfold.core.forward.SendOutcome;
-import io.masticfold.core.placement.EnginePlacement;
 import io.masticfold.core.stream.StreamEvent;
 import io.masticfold.core.time.Cancellable;
 import io.masticfold.core.time.Deadline;
@@ -18,12 +17,11 @@
 import io.masticfold.gateway.http.Exchange;
 import io.masticfold.gateway.log.GatewayEvent;
 import io.masticfold.gateway.protocol.PieceOutcome;
-import io.masticfold.gateway.stage.StageRun;
+import io.masticfold.gateway.stage.StageRefusal;
 import io.masticfold.gateway.stage.StageRunListener;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -32,12 +30,6 @@
 /** Takes one routed request through its stages and to a target, and answers the caller. Used by one thread. */
 final class RequestRun implements CallerListener, StageRunListener {
 
-    /** Most times that the stages of a request are run. */
-    private static final int MAX_STAGE_RUNS = 2;
-
-    /** Usual time from the send to an engine to its first token, for the time at which stage results are due. */
-    private static final Duration ENGINE_TIME = Duration.ofMillis(250);
-
     /** Time after a send by which an engine without a queue has read the stage results. */
     private static final Duration INPUT_READ_TIME = Duration.ofMillis(100);
 
@@ -45,16 +37,15 @@
     private final RequestServices services;
     private final RequestPlan plan;
     private final RequestReport report;
+    private final RequestStages stages;
     private final Consumer<RequestRun> onEnd;
     private final FinalAnswer answer;
     private final @Nullable StreamProgress progress;
     private final Set<String> excluded = new HashSet<>();
     private final Deadline deadline;
     private Cancellable timer = Cancellable.NONE;
-    private @Nullable StageRun stageRun;
     private @Nullable TargetSend send;
     private List<String> inputs = List.of();
-    private int stageRuns;
     private int sends;
     private int runs;
     private Ran ran = Ran.NO;
@@ -74,6 +65,7 @@
         this.answer = new FinalAnswer(context, callerAnswer);
         this.progress = plan.route().kind().streaming() ? new StreamProgress(callerAnswer) : null;
         this.deadline = plan.deadline();
+        this.stages = new RequestStages(services, plan);
     }
 
     void start() {
@@ -86,45 +78,13 @@
     }
 
     private void runStages() {
-        stageRuns++;
-        StageRun next;
         try {
-            next = new StageRun(
-                    services.stages(),
-                    plan.route().stages(),
-                    plan.metadata().stagePieces(),
-                    plan.metadata().attemptId(),
-                    plan.metadata().stageKey(),
-                    plan.rank(),
-                    plan.request().receivedNanos(),
-                    plan.request().receivedNanos()
-                            + plan.route().aim().minus(ENGINE_TIME).toNanos(),
-                    deadline,
-                    readerZone(),
-                    this);
+            stages.create(this);
         } catch (IllegalArgumentException e) {
             fail(ErrorKind.MALFORMED_REQUEST, String.valueOf(e.getMessage()));
             return;
         }
-        stageRun = next;
-        if (next.empty()) {
-            stagesDone(List.of());
-        } else {
-            services.gate().submit(next);
-        }
-    }
-
-    private @Nullable String readerZone() {
-        long resultBytes = 0;
-        for (int stage = 0; stage < plan.route().stages().size(); stage++) {
-            if (stage < plan.metadata().stagePieces().size()) {
-                resultBytes += plan.route().stages().get(stage).resultBytes()
-                        * plan.metadata().stagePieces().get(stage);
-            }
-        }
-        return EnginePlacement.followsPrompt(plan.prompt(), resultBytes)
-                ? services.targets().pool(plan.pool()).preferredZone(plan.prompt())
-                : null;
+        stages.submit(this);
     }
 
     @Override
@@ -139,7 +99,7 @@
         if (ended) {
             return;
         }
-        if (kind == PieceOutcome.Kind.INPUT_GONE && stageRuns < MAX_STAGE_RUNS) {
+        if (kind == PieceOutcome.Kind.INPUT_GONE && stages.mayRunAgain()) {
             runStages();
         } else {
             fail(
@@ -149,9 +109,9 @@
     }
 
     @Override
-    public void stagesRefused(Duration comeBack) {
+    public void stagesRefused(StageRefusal reason, Duration comeBack) {
         if (!ended) {
-            fail(ErrorKind.STAGE_TIMEOUT, "stages would be too late", comeBack);
+            fail(reason.kind(), reason.detail(), comeBack);
         }
     }
 
@@ -166,7 +126,7 @@
         Optional<TargetState> choice = pool.choose(
                 spec.get(),
                 plan.prompt(),
-                stageRun == null ? Map.of() : stageRun.finalBytesByZone(),
+                stages.finalBytesByZone(),
                 excluded,
                 context.view().sharingGateways());
         if (choice.isEmpty()) {
@@ -198,7 +158,7 @@
                         kept ? ConnectionChoice.REUSE : ConnectionChoice.FRESH,
                         next);
         next.started(exchange);
-        if (stageRun != null) {
+        if (stages.begun()) {
             context.scheduler().schedule(INPUT_READ_TIME, () -> inputsRead(next));
         }
         context.log()
@@ -211,9 +171,8 @@
     }
 
     private void inputsRead(TargetSend current) {
-        StageRun run = stageRun;
-        if (!ended && send == current && run != null) {
-            run.resultsRead();
+        if (!ended && send == current) {
+            stages.resultsRead();
         }
     }
 
@@ -229,7 +188,7 @@
     void eventPassed() {
         if (!report.hasFirstEvent()) {
             report.firstEvent();
-            releaseStages();
+            stages.release();
         }
     }
 
@@ -274,7 +233,7 @@
                 remaining(),
                 services.targets().pool(plan.pool()).budget());
         if (again) {
-            context.telemetry().retried(kind(result.outcome()));
+            context.telemetry().retried(result.outcome().failure());
             sendAgain(result);
         } else {
             giveUp(result);
@@ -283,9 +242,9 @@
 
     private void sendAgain(SendResult result) {
         boolean stagesRead = report.hasFirstEvent() || result.outcome() == SendOutcome.INPUT_GONE;
-        if (stagesRead && stageRun != null) {
-            releaseStages();
-            if (result.outcome() == SendOutcome.INPUT_GONE && stageRuns >= MAX_STAGE_RUNS) {
+        if (stagesRead && stages.begun()) {
+            stages.release();
+            if (result.outcome() == SendOutcome.INPUT_GONE && !stages.mayRunAgain()) {
                 giveUp(result);
                 return;
             }
@@ -298,25 +257,16 @@
     private void giveUp(SendResult result) {
         TargetAnswer targetAnswer = result.answer();
         if (progress != null && progress.started()) {
-            abort(kind(result.outcome()), result.detail());
+            abort(result.outcome().failure(), result.detail());
         } else if (targetAnswer != null) {
             end();
             answer.pass(targetAnswer);
             report(GatewayEvent.REQUEST_FAILED, "target_failed", result.detail());
         } else {
-            fail(kind(result.outcome()), result.detail());
+            fail(result.outcome().failure(), result.detail());
         }
     }
 
-    private static ErrorKind kind(SendOutcome outcome) {
-        return switch (outcome) {
-            case NOT_SENT -> ErrorKind.TARGET_UNREACHABLE;
-            case NOT_RUN, INPUT_GONE -> ErrorKind.OVERLOADED;
-            case FAILED -> ErrorKind.TARGET_FAILED;
-            case ANSWERED, UNKNOWN -> ErrorKind.OUTCOME_UNKNOWN;
-        };
-    }
-
     private void succeed(SendResult result) {
         end();
         TargetAnswer targetAnswer = result.answer();
@@ -368,7 +318,7 @@
     private void end() {
         ended = true;
         timer.cancel();
-        releaseStages();
+        stages.release();
         onEnd.accept(this);
     }
 
@@ -379,17 +329,8 @@
         }
     }
 
-    private void releaseStages() {
-        StageRun run = stageRun;
-        if (run != null) {
-            run.cancel();
-        }
-    }
-
     private void report(GatewayEvent event, String outcome, String detail) {
-        if (stageRun != null) {
-            report.stages(stageRun);
-        }
+        stages.reportTo(report);
         report.end(event, outcome, ran, sends, progress == null ? 0 : progress.events(), detail);
     }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageForecast.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageForecast.java
@@ -67,4 +67,16 @@
     private static Duration longer(Duration one, Duration other) {
         return one.compareTo(other) >= 0 ? one : other;
     }
+
+    /** Returns the usual time of the longest chain of stages that follow a stage, in nanoseconds. */
+    long afterNanos(int stage) {
+        long longest = 0;
+        for (int next = 0; next < stages.size(); next++) {
+            if (stages.get(next).after().contains(stage)) {
+                long usual = servers.usualTime(stages.get(next).pool()).toNanos();
+                longest = Math.max(longest, usual + afterNanos(next));
+            }
+        }
+        return longest;
+    }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageGate.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageGate.java
@@ -54,7 +54,7 @@
     public void refuseAll() {
         List<StageRun> refused = List.copyOf(waiting);
         waiting.clear();
-        refused.forEach(run -> run.refuse(Duration.ZERO));
+        refused.forEach(run -> run.refuse(StageRefusal.STOPPING, Duration.ZERO));
     }
 
     /** Returns the number of requests that wait. */
@@ -76,7 +76,7 @@
     }
 
     private void refuseLater(StageRun run, Duration comeBack) {
-        context.scheduler().schedule(Duration.ZERO, () -> run.refuse(comeBack));
+        context.scheduler().schedule(Duration.ZERO, () -> run.refuse(StageRefusal.TOO_LATE, comeBack));
     }
 
     private void arm() {
@@ -99,7 +99,7 @@
             StageAdmission.Verdict verdict = verdict(run, path, now);
             if (verdict == StageAdmission.Verdict.REFUSE) {
                 waiting.remove(run);
-                run.refuse(Duration.ZERO);
+                run.refuse(StageRefusal.TOO_LATE, Duration.ZERO);
             } else if (verdict == StageAdmission.Verdict.START && begun < BEGIN_AT_ONCE) {
                 begun++;
                 waiting.remove(run);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StagePools.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StagePools.java
@@ -1,12 +1,10 @@
 package io.masticfold.gateway.stage;
 
-import io.masticfold.core.error.ErrorKind;
 import io.masticfold.core.forward.StagePoolSpec;
 import io.masticfold.core.retry.RetryBudget;
 import io.masticfold.core.stage.StageRouting;
 import io.masticfold.core.stage.StageServerView;
 import io.masticfold.gateway.context.GatewayContext;
-import io.masticfold.gateway.log.GatewayEvent;
 import io.masticfold.gateway.peer.PeerCaller;
 import io.masticfold.gateway.peer.PeerLinks;
 import io.masticfold.gateway.peer.proto.PeerFrame;
@@ -26,20 +24,13 @@
 /** Sends the pieces of this gateway's requests to the gateways that own the stage servers. Used by one thread. */
 public final class StagePools implements PieceReceiver {
 
-    /** Most sends of one piece. */
-    static final int MAX_SENDS = 4;
-
-    /** Most times that a piece is moved from the queue of one server to another: as often as it may be sent. */
-    static final int MAX_MOVES = 4;
-
     private static final double NANOS_PER_MILLI = 1e6;
 
     private final GatewayContext context;
-    private final Function<String, RetryBudget> newBudget;
+    private final StageRepeats repeats;
     private final StageOwner owner;
     private final StageServers servers;
     private final Map<Long, StageOrder> orders = new HashMap<>();
-    private final Map<String, RetryBudget> budgets = new HashMap<>();
     private @Nullable PeerLinks peers;
     private long lastOrder;
     private boolean draining;
@@ -51,7 +42,7 @@
      */
     public StagePools(GatewayContext context, Function<String, RetryBudget> newBudget) {
         this.context = context;
-        this.newBudget = newBudget;
+        this.repeats = new StageRepeats(context, newBudget);
         this.owner = new StageOwner(context);
         this.servers = new StageServers(context, owner);
     }
@@ -94,8 +85,7 @@
      * @param readerZone availability zone in which the results are expected to be read; null if unknown
      */
     void submit(String pool, List<PendingPiece> pieces, Map<String, Long> inputBytes, @Nullable String readerZone) {
-        RetryBudget budget = budget(pool);
-        pieces.forEach(_piece -> budget.earn());
+        repeats.began(pool, pieces.size());
         place(
                 pool,
                 pieces.stream()
@@ -253,55 +243,23 @@
         if (order.cancelled) {
             return;
         }
-        logFailure(order, outcome.kind());
+        repeats.failed(order, outcome.kind());
         switch (outcome.kind()) {
-            case FAILED -> again(order);
+            case FAILED -> again(order, repeats.again(order));
             case GIVEN_BACK -> {
-                avoid(order.server);
-                again(order);
+                servers.avoid(order.server);
+                again(order, repeats.again(order));
             }
             case NOT_SENT -> {
-                avoid(order.server);
-                move(order);
+                servers.avoid(order.server);
+                again(order, repeats.move(order));
             }
             default -> order.piece.listener().failed(outcome.kind());
         }
     }
 
-    private void avoid(String server) {
-        servers.notes(server).failed(context.scheduler().nanoTime() + StageServers.FAILING_TIME.toNanos());
-    }
-
-    private void logFailure(StageOrder order, PieceOutcome.Kind kind) {
-        context.log()
-                .failure(GatewayEvent.STAGE_PIECE_FAILED)
-                .addKeyValue("request", order.piece.attemptId())
-                .addKeyValue("pool", order.pool)
-                .addKeyValue("target", order.server)
-                .addKeyValue("stage", order.piece.stage())
-                .addKeyValue("piece", order.piece.piece())
-                .addKeyValue("outcome", kind)
-                .addKeyValue("send", order.sends)
-                .addKeyValue("ageMillis", (long)
-                        ((context.scheduler().nanoTime() - order.piece.startedNanos()) / NANOS_PER_MILLI))
-                .log();
-    }
-
-    private void again(StageOrder order) {
-        boolean inTime = !order.piece.deadline().expired(context.scheduler());
-        if (inTime && order.sends < MAX_SENDS && budget(order.pool).spend()) {
-            context.telemetry().retried(ErrorKind.TARGET_FAILED);
-            place(order.pool, List.of(order));
-        } else {
-            order.piece.listener().failed(PieceOutcome.Kind.FAILED);
-        }
-    }
-
-    /** Places a piece that has reached no server; it is no repeat, so it costs nothing of the retry budget. */
-    private void move(StageOrder order) {
-        order.sends--;
-        order.moves++;
-        if (!order.piece.deadline().expired(context.scheduler()) && order.moves <= MAX_MOVES) {
+    private void again(StageOrder order, boolean allowed) {
+        if (allowed) {
             place(order.pool, List.of(order));
         } else {
             order.piece.listener().failed(PieceOutcome.Kind.FAILED);
@@ -315,10 +273,6 @@
                         () -> group.forEach(order -> order.piece.listener().failed(PieceOutcome.Kind.FAILED)));
     }
 
-    private RetryBudget budget(String pool) {
-        return budgets.computeIfAbsent(pool, newBudget);
-    }
-
     /** Takes a frame of a peer that this gateway asked. */
     public void answered(String peer, PeerFrame frame) {
         if (frame.hasReply()) {
@@ -343,7 +297,7 @@
         for (StageOrder order : new ArrayList<>(open)) {
             orders.remove(order.number);
             if (!order.cancelled) {
-                again(order);
+                again(order, repeats.again(order));
             }
         }
     }
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageRepeats.java
@@ -0,0 +1,85 @@
+package io.masticfold.gateway.stage;
+
+import io.masticfold.core.error.ErrorKind;
+import io.masticfold.core.retry.RetryBudget;
+import io.masticfold.gateway.context.GatewayContext;
+import io.masticfold.gateway.log.GatewayEvent;
+import io.masticfold.gateway.protocol.PieceOutcome;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Function;
+
+/** Decides whether a piece that was not made is placed again, within the retry budget of its pool. */
+final class StageRepeats {
+
+    /** Most sends of one piece. */
+    static final int MAX_SENDS = 4;
+
+    /** Most times that a piece is moved from the queue of one server to another: as often as it may be sent. */
+    static final int MAX_MOVES = 4;
+
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final GatewayContext context;
+    private final Function<String, RetryBudget> newBudget;
+    private final Map<String, RetryBudget> budgets = new HashMap<>();
+
+    /**
+     * Creates the decisions.
+     *
+     * @param newBudget creates the retry budget of a pool
+     */
+    StageRepeats(GatewayContext context, Function<String, RetryBudget> newBudget) {
+        this.context = context;
+        this.newBudget = newBudget;
+    }
+
+    /** Notes pieces that are placed for the first time. */
+    void began(String pool, int pieces) {
+        RetryBudget budget = budget(pool);
+        for (int piece = 0; piece < pieces; piece++) {
+            budget.earn();
+        }
+    }
+
+    /** Returns whether a piece that was in a call is sent again. */
+    boolean again(StageOrder order) {
+        boolean allowed =
+                inTime(order) && order.sends < MAX_SENDS && budget(order.pool).spend();
+        if (allowed) {
+            context.telemetry().retried(ErrorKind.TARGET_FAILED);
+        }
+        return allowed;
+    }
+
+    /** Returns whether a piece that was in no call moves to another server; that is no repeat and costs no budget. */
+    boolean move(StageOrder order) {
+        order.sends--;
+        order.moves++;
+        return inTime(order) && order.moves <= MAX_MOVES;
+    }
+
+    private boolean inTime(StageOrder order) {
+        return !order.piece.deadline().expired(context.scheduler());
+    }
+
+    private RetryBudget budget(String pool) {
+        return budgets.computeIfAbsent(pool, newBudget);
+    }
+
+    /** Tells that a piece was not made. */
+    void failed(StageOrder order, PieceOutcome.Kind kind) {
+        context.log()
+                .failure(GatewayEvent.STAGE_PIECE_FAILED)
+                .addKeyValue("request", order.piece.attemptId())
+                .addKeyValue("pool", order.pool)
+                .addKeyValue("target", order.server)
+                .addKeyValue("stage", order.piece.stage())
+                .addKeyValue("piece", order.piece.piece())
+                .addKeyValue("outcome", kind)
+                .addKeyValue("send", order.sends)
+                .addKeyValue("ageMillis", (long)
+                        ((context.scheduler().nanoTime() - order.piece.startedNanos()) / NANOS_PER_MILLI))
+                .log();
+    }
+}
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageRun.java
@@ -27,6 +27,7 @@
     private final @Nullable String readerZone;
     private final StageRunListener listener;
     private final StageGraph graph;
+    private final StageForecast forecast;
     private final List<PendingPiece> pending = new ArrayList<>();
     private final Map<Integer, Integer> committed = new HashMap<>();
     private final Map<Integer, List<StageResult>> results = new HashMap<>();
@@ -70,6 +71,7 @@
         this.readerZone = readerZone;
         this.listener = listener;
         this.graph = new StageGraph(stages, pieces);
+        this.forecast = new StageForecast(pools.servers(), this.stages, graph);
     }
 
     /** Returns whether there is nothing to make. */
@@ -103,10 +105,10 @@
      *
      * @param comeBack time after which the pools are likely to have drained
      */
-    void refuse(Duration comeBack) {
+    void refuse(StageRefusal reason, Duration comeBack) {
         if (!ended) {
             ended = true;
-            listener.stagesRefused(comeBack);
+            listener.stagesRefused(reason, comeBack);
         }
     }
 
@@ -142,7 +144,7 @@
 
     /** Returns what is known of the pools along the longest chain. */
     StagePath path() {
-        return new StageForecast(pools.servers(), stages, graph).path();
+        return forecast.path();
     }
 
     /** Gives up the pieces that are not made and releases every result. */
@@ -197,18 +199,6 @@
         }
     }
 
-    /** Returns the usual time of the longest chain of stages that follow a stage, in nanoseconds. */
-    private long afterNanos(int stage) {
-        long longest = 0;
-        for (int next = 0; next < stages.size(); next++) {
-            if (stages.get(next).after().contains(stage)) {
-                long usual = pools.servers().usualTime(stages.get(next).pool()).toNanos();
-                longest = Math.max(longest, usual + afterNanos(next));
-            }
-        }
-        return longest;
-    }
-
     private PendingPiece piece(int stage, int piece) {
         StageSpec spec = stages.get(stage);
         boolean reads = !spec.after().isEmpty();
@@ -221,7 +211,7 @@
                 spec.resultBytes(),
                 rank,
                 startedNanos,
-                dueNanos - afterNanos(stage),
+                dueNanos - forecast.afterNanos(stage),
                 deadline,
                 new Outcome(stage, piece));
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageRunListener.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageRunListener.java
@@ -14,9 +14,9 @@
     void stagesFailed(PieceOutcome.Kind kind);
 
     /**
-     * The stages were not begun, since the results would be too late.
+     * The stages were not begun.
      *
      * @param comeBack time after which the pools are likely to have drained
      */
-    void stagesRefused(Duration comeBack);
+    void stagesRefused(StageRefusal reason, Duration comeBack);
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerQueue.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerQueue.java
@@ -43,7 +43,7 @@
     private final StageServerAccount account;
     private final StageReleases releases;
     private final StageCallLog callLog;
-    private final List<QueuedPiece> waiting = new ArrayList<>();
+    private final WaitingPieces waiting;
     private @Nullable StageCall current;
     private int callsGivenUp;
     private boolean pumpArmed;
@@ -54,6 +54,7 @@
         this.pool = pool;
         this.server = server;
         this.account = new StageServerAccount(context.scheduler());
+        this.waiting = new WaitingPieces(context.scheduler());
         this.callLog = new StageCallLog(context.log(), pool, server.id());
         this.releases = new StageReleases(context, server, account, this::spec, () -> pumpAfter(Duration.ZERO));
     }
@@ -63,20 +64,19 @@
     }
 
     void add(QueuedPiece piece) {
-        waiting.add(piece);
+        waiting.add(List.of(piece));
         pumpAfter(Duration.ZERO);
     }
 
     /** Ends a piece that still waits; one that is in a call ends with the call. */
     void cancel(PieceReceiver receiver, long order) {
-        boolean removed = waiting.removeIf(piece -> piece.order() == order && piece.receiver() == receiver);
-        if (removed) {
+        if (waiting.remove(receiver, order)) {
             receiver.outcome(order, new PieceOutcome(PieceOutcome.Kind.LATE, ""));
         }
     }
 
     void cancelAll(PieceReceiver receiver) {
-        waiting.removeIf(piece -> piece.receiver() == receiver);
+        waiting.removeAll(receiver);
     }
 
     /** Returns whether no piece waits and no call is in progress. */
@@ -100,9 +100,7 @@
 
     /** Returns the time until a piece of a request that is on time would start, in milliseconds. */
     double onTimeBacklogMillis() {
-        long now = context.scheduler().nanoTime();
-        return backlogMillis((int)
-                waiting.stream().filter(piece -> piece.dueNanos() - now >= 0).count());
+        return backlogMillis(waiting.onTime());
     }
 
     private double backlogMillis(int pieces) {
@@ -149,7 +147,8 @@
             pumpAfter(Duration.ofMillis((long) Math.ceil(pause)));
             return;
         }
-        List<QueuedPiece> batch = takeBatch(spec.get());
+        List<QueuedPiece> batch =
+                waiting.take(spec.get(), account.roomBytes(spec.get().roomBytes()));
         if (batch.isEmpty()) {
             pumpAfter(ROOM_PAUSE);
         } else {
@@ -159,27 +158,8 @@
 
     private void giveBackUnusable() {
         boolean usable = context.view().directory().usable(server);
-        List<QueuedPiece> unusable = waiting.stream()
-                .filter(piece -> !usable || piece.deadline().expired(context.scheduler()))
-                .toList();
-        unusable.forEach(piece -> {
-            waiting.remove(piece);
-            answer(piece, usable ? PieceOutcome.Kind.LATE : PieceOutcome.Kind.NOT_SENT);
-        });
-    }
-
-    private List<QueuedPiece> takeBatch(StagePoolSpec spec) {
-        List<QueuedPiece> ordered = new ArrayList<>(waiting);
-        ordered.sort(QueuedPiece.orderAt(context.scheduler().nanoTime()));
-        int size = BatchSupport.size(
-                ordered.stream().map(QueuedPiece::attemptId).toList(),
-                ordered.stream().map(QueuedPiece::bytes).toList(),
-                spec.batch(),
-                account.roomBytes(spec.roomBytes()),
-                spec.roomBytes());
-        List<QueuedPiece> batch = List.copyOf(ordered.subList(0, size));
-        waiting.removeAll(batch);
-        return batch;
+        List<QueuedPiece> unusable = usable ? waiting.takeExpired() : waiting.takeAll();
+        unusable.forEach(piece -> answer(piece, usable ? PieceOutcome.Kind.LATE : PieceOutcome.Kind.NOT_SENT));
     }
 
     private void call(StagePoolSpec spec, List<QueuedPiece> batch) {
@@ -282,7 +262,7 @@
         if (full && fullAnswers < MAX_FULL_ANSWERS) {
             // Another gateway calls the same server for a moment; the pieces keep their place.
             account.pause(FULL_PAUSE);
-            waiting.addAll(batch);
+            waiting.add(batch);
         } else {
             fullAnswers = 0;
             giveBack(batch);
@@ -302,9 +282,7 @@
     }
 
     private void moveWaiting() {
-        List<QueuedPiece> back = List.copyOf(waiting);
-        waiting.clear();
-        back.forEach(piece -> answer(piece, PieceOutcome.Kind.NOT_SENT));
+        waiting.takeAll().forEach(piece -> answer(piece, PieceOutcome.Kind.NOT_SENT));
     }
 
     private void settle(StagePoolSpec spec, QueuedPiece piece, PieceOutcome outcome) {
@@ -317,7 +295,7 @@
                 // Results that this gateway does not know of take room; they go within their keep time.
                 account.noRoom(spec.roomBytes());
                 account.pause(ROOM_PAUSE);
-                waiting.add(piece);
+                waiting.add(List.of(piece));
             }
             case LATE, INPUT_GONE, FAILED, GIVEN_BACK, NOT_SENT ->
                 piece.receiver().outcome(piece.order(), outcome);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServers.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServers.java
@@ -69,6 +69,11 @@
         commitments.lost(peer);
     }
 
+    /** Chooses a server last for a while, since it gave a piece back. */
+    void avoid(String server) {
+        notes(server).failed(context.scheduler().nanoTime() + FAILING_TIME.toNanos());
+    }
+
     /** Finds the description of a stage pool. */
     Optional<StagePoolSpec> spec(String pool) {
         return Optional.ofNullable(context.view().config())
