Return from the stand-in's reject switch once connections are refused

Change: the switch waits until a connection is refused. Test: rejectsConnectionsOnceTheSwitchReturns failed 4 of 30 repetitions before and passes now; HttpTargetClientTests passes.

--- a/masticfold-testkit/src/main/java/io/masticfold/testkit/http/AbstractStandIn.java
+++ b/masticfold-testkit/src/main/java/io/masticfold/testkit/http/AbstractStandIn.java
@@ -13,6 +13,8 @@
 import io.activej.promise.SettablePromise;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletionException;
 import java.util.function.Supplier;
@@ -29,6 +31,7 @@
     private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
     private static final int BAD_REQUEST = 400;
     private static final String FAULTS_PATH = "/v1/faults";
+    private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(5);
 
     private final Eventloop eventloop;
     private final FaultSwitches<F> faults;
@@ -80,9 +83,12 @@
         return address;
     }
 
-    /** Sets a fault switch. */
+    /** Sets a fault switch; returns once it takes effect. */
     public final void fault(F fault, long value) {
         run(() -> apply(fault, value));
+        if (rejects(fault, value)) {
+            awaitClosed();
+        }
     }
 
     /** Sets all fault switches to no effect. */
@@ -103,7 +109,7 @@
 
     /** Reacts to a switch that acts at once, such as turning cold. */
     protected void onFault(F fault, long value) {
-        if (fault.code().equals("rejectMillis") && value > 0) {
+        if (rejects(fault, value)) {
             rejectFor(value);
         }
         onFaultsChanged();
@@ -206,6 +212,26 @@
         onFault(fault, value);
     }
 
+    private boolean rejects(F fault, long value) {
+        return fault.code().equals("rejectMillis") && value > 0;
+    }
+
+    /**
+     * Waits until connections are refused. The kernel closes a listening socket only when the selector of its loop has
+     * removed it, which happens after {@code close} has returned.
+     */
+    private void awaitClosed() {
+        long end = System.nanoTime() + CLOSE_TIMEOUT.toNanos();
+        while (System.nanoTime() - end < 0) {
+            try (Socket probe = new Socket()) {
+                probe.connect(address, (int) CLOSE_TIMEOUT.toMillis());
+            } catch (IOException e) {
+                return;
+            }
+        }
+        throw new IllegalStateException(address + " still accepts connections");
+    }
+
     private void rejectFor(long millis) {
         close();
         connections.cutAll();
--- a/masticfold-testkit/src/test/java/io/masticfold/testkit/targets/TargetStandInTests.java
+++ b/masticfold-testkit/src/test/java/io/masticfold/testkit/targets/TargetStandInTests.java
@@ -7,13 +7,16 @@
 import io.masticfold.core.model.TargetKind;
 import io.masticfold.testkit.Http;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -46,6 +49,16 @@
         assertThat(execution.state()).isEqualTo(ExecutionState.DONE);
     }
 
+    /** Guards against a switch that returns before the kernel has closed the listening socket. */
+    @RepeatedTest(30)
+    void rejectsConnectionsOnceTheSwitchReturns() throws IOException {
+        start(ENGINE);
+        target.fault(TargetFault.REJECT_MILLIS, 60_000);
+        try (Socket socket = new Socket()) {
+            assertThatThrownBy(() -> socket.connect(target.address(), 1_000)).isInstanceOf(ConnectException.class);
+        }
+    }
+
     /** Guards against a stream without its tokens in order or without an end mark. */
     @Test
     void streamsTokensAndAnEnd() throws Exception {
