--- a/masticfold-core/src/main/java/io/masticfold/core/stage/StageServerSelection.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/stage/StageServerSelection.java
@@ -6,10 +6,10 @@
 import java.util.Optional;
 
 /**
- * Chooses the server that processes the pieces of a stage. A server runs one call at a time, and a call has a high
- * fixed cost however few pieces it carries. The pieces of all gateways are therefore batched in one queue per server,
- * held by the gateway that owns the server. The choice weighs the backlogs of the queues against moving results between
- * availability zones.
+ * Chooses the server that is expected to process the pieces of a stage. A server runs one call at a time, and a call
+ * has a high fixed cost however few pieces it carries. The pieces of all gateways are therefore batched in one queue
+ * per partition of a pool, held by the gateway that owns it; that gateway decides by {@link StageCallPlan}. The choice
+ * weighs the backlogs of the servers against moving results between availability zones.
  */
 public final class StageServerSelection {
 
@@ -59,14 +59,23 @@
     }
 
     private static double cost(StageServerView server, long bytes, Map<String, Long> zoneBytes, double spareMillis) {
-        long totalBytes = zoneBytes.values().stream().mapToLong(Long::longValue).sum();
-        long movedBytes = totalBytes - zoneBytes.getOrDefault(server.zone(), 0L);
         return server.backlogMillis()
-                + (movedBytes > 0 ? moveMillis(movedBytes, spareMillis) : 0)
-                + (server.freeBytes() < bytes ? STORAGE_FULL_MILLIS : 0)
+                + placementMillis(server.zone(), server.freeBytes(), bytes, zoneBytes, spareMillis)
                 + (server.recentlyFailed() ? RECENT_FAILURE_MILLIS : 0);
     }
 
+    /** Returns the cost of moving results to a server and of waiting for its storage, in milliseconds. */
+    static double placementMillis(
+            String zone, long freeBytes, long bytes, Map<String, Long> zoneBytes, double spareMillis) {
+        long totalBytes = 0;
+        for (long inZone : zoneBytes.values()) {
+            totalBytes += inZone;
+        }
+        long movedBytes = totalBytes - zoneBytes.getOrDefault(zone, 0L);
+        return (movedBytes > 0 ? moveMillis(movedBytes, spareMillis) : 0)
+                + (freeBytes < bytes ? STORAGE_FULL_MILLIS : 0);
+    }
+
     private static double moveMillis(long bytes, double spareMillis) {
         double millis = bytes / BYTES_PER_MEGABYTE * CROSS_ZONE_MILLIS_PER_MEGABYTE;
         return Math.max(MIN_CROSS_ZONE_MILLIS, Math.min(millis, spareMillis * MAX_SPARE_FRACTION));
--- /dev/null
+++ b/masticfold-core/src/test/java/io/masticfold/core/stage/StagePartitionsTests.java
@@ -0,0 +1,38 @@
+package io.masticfold.core.stage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Arrays;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against one gateway that schedules more servers than it can, and servers that change their owner needlessly. */
+final class StagePartitionsTests {
+
+    @ParameterizedTest
+    @CsvSource({"0, 1", "1, 1", "16, 1", "17, 2", "28, 2", "33, 3", "160, 10"})
+    void thePartitionsGrowWithThePool(int servers, int count) {
+        assertThat(StagePartitions.count(servers)).isEqualTo(count);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1", "2", "3", "10"})
+    void everyPartitionGetsAboutItsPart(int count) {
+        int servers = count * StagePartitions.MAX_SERVERS;
+        int[] sizes = new int[count];
+        IntStream.range(0, servers).forEach(i -> sizes[StagePartitions.partitionOf("i-" + i * 7919, count)]++);
+
+        assertThat(Arrays.stream(sizes)).allMatch(size -> size >= 4 && size <= 2 * StagePartitions.MAX_SERVERS);
+    }
+
+    @Test
+    void oneMorePartitionMovesServersOnlyToIt() {
+        for (int i = 0; i < 200; i++) {
+            int before = StagePartitions.partitionOf("i-" + i, 4);
+            int after = StagePartitions.partitionOf("i-" + i, 5);
+            assertThat(after).isIn(before, 4);
+        }
+    }
+}
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/Peer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/Peer.java
@@ -41,6 +41,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_masticfold_gateway_PieceOrder_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_masticfold_gateway_ZoneBytes_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_masticfold_gateway_ZoneBytes_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_masticfold_gateway_Piece_descriptor;
   static final 
@@ -129,36 +134,41 @@
       "icfold.gateway.KnowledgeH\000\0225\n\013inputs_rea" +
       "d\030\t \001(\0132\036.masticfold.gateway.InputsReadH" +
       "\000B\t\n\007message\"\031\n\tPeerHello\022\014\n\004node\030\001 \001(\t\"" +
-      "U\n\nPieceOrder\022\014\n\004pool\030\001 \001(\t\022\016\n\006server\030\002 " +
-      "\001(\t\022)\n\006pieces\030\003 \003(\0132\031.masticfold.gateway" +
-      ".Piece\"\274\001\n\005Piece\022\r\n\005order\030\001 \001(\004\022\017\n\007attem" +
-      "pt\030\002 \001(\t\022\r\n\005stage\030\003 \001(\r\022\r\n\005piece\030\004 \001(\r\022\023" +
-      "\n\013left_millis\030\005 \001(\r\022\r\n\005bytes\030\006 \001(\004\022\014\n\004ra" +
-      "nk\030\007 \001(\r\022\022\n\nage_millis\030\010 \001(\r\022\022\n\ndue_mill" +
-      "is\030\013 \001(\021\022\013\n\003key\030\t \001(\t\022\016\n\006inputs\030\n \003(\t\"<\n" +
-      "\nPieceReply\022\r\n\005order\030\001 \001(\004\022\017\n\007outcome\030\002 " +
-      "\001(\r\022\016\n\006handle\030\003 \001(\t\"\033\n\nInputsRead\022\r\n\005ord" +
-      "er\030\001 \001(\004\";\n\013PieceCancel\022\014\n\004pool\030\001 \001(\t\022\016\n" +
-      "\006server\030\002 \001(\t\022\016\n\006orders\030\003 \003(\004\"N\n\rResultR" +
-      "elease\022\014\n\004pool\030\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\017\n\007" +
-      "handles\030\003 \003(\t\022\016\n\006needed\030\004 \001(\010\"\213\001\n\nPeerSt" +
-      "atus\0222\n\007servers\030\001 \003(\0132!.masticfold.gatew" +
-      "ay.ServerBacklog\022\020\n\010draining\030\002 \001(\010\0227\n\013co" +
-      "mmitments\030\003 \003(\0132\".masticfold.gateway.Poo" +
-      "lCommitment\".\n\016PoolCommitment\022\014\n\004pool\030\001 " +
-      "\001(\t\022\016\n\006pieces\030\002 \001(\r\"k\n\rServerBacklog\022\016\n\006" +
-      "server\030\001 \001(\t\022\026\n\016backlog_millis\030\002 \001(\r\022\022\n\n" +
-      "room_bytes\030\003 \001(\004\022\036\n\026on_time_backlog_mill" +
-      "is\030\004 \001(\r\"H\n\020KnowledgeRequest\0224\n\trevision" +
-      "s\030\001 \003(\0132!.masticfold.gateway.KnownRevisi" +
-      "on\"/\n\rKnownRevision\022\014\n\004kind\030\001 \001(\r\022\020\n\010rev" +
-      "ision\030\002 \001(\004\"9\n\tKnowledge\022,\n\005kinds\030\001 \003(\0132" +
-      "\035.masticfold.gateway.KnownKind\"]\n\tKnownK" +
-      "ind\022\014\n\004kind\030\001 \001(\r\022\020\n\010revision\030\002 \001(\004\0220\n\007o" +
-      "bjects\030\003 \003(\0132\037.masticfold.gateway.KnownO" +
-      "bject\">\n\013KnownObject\022\014\n\004name\030\001 \001(\t\022\020\n\010re" +
-      "vision\030\002 \001(\004\022\017\n\007content\030\003 \001(\014B&\n io.mast" +
-      "icfold.gateway.peer.protoH\001P\001b\006proto3"
+      "\305\001\n\nPieceOrder\022\014\n\004pool\030\001 \001(\t\022\016\n\006server\030\002" +
+      " \001(\t\022)\n\006pieces\030\003 \003(\0132\031.masticfold.gatewa" +
+      "y.Piece\022\021\n\tpartition\030\004 \001(\r\022\022\n\nany_server" +
+      "\030\005 \001(\010\0222\n\013input_bytes\030\006 \003(\0132\035.masticfold" +
+      ".gateway.ZoneBytes\022\023\n\013reader_zone\030\007 \001(\t\"" +
+      "(\n\tZoneBytes\022\014\n\004zone\030\001 \001(\t\022\r\n\005bytes\030\002 \001(" +
+      "\004\"\274\001\n\005Piece\022\r\n\005order\030\001 \001(\004\022\017\n\007attempt\030\002 " +
+      "\001(\t\022\r\n\005stage\030\003 \001(\r\022\r\n\005piece\030\004 \001(\r\022\023\n\013lef" +
+      "t_millis\030\005 \001(\r\022\r\n\005bytes\030\006 \001(\004\022\014\n\004rank\030\007 " +
+      "\001(\r\022\022\n\nage_millis\030\010 \001(\r\022\022\n\ndue_millis\030\013 " +
+      "\001(\021\022\013\n\003key\030\t \001(\t\022\016\n\006inputs\030\n \003(\t\"Z\n\nPiec" +
+      "eReply\022\r\n\005order\030\001 \001(\004\022\017\n\007outcome\030\002 \001(\r\022\016" +
+      "\n\006handle\030\003 \001(\t\022\016\n\006server\030\004 \001(\t\022\014\n\004zone\030\005" +
+      " \001(\t\"\033\n\nInputsRead\022\r\n\005order\030\001 \001(\004\";\n\013Pie" +
+      "ceCancel\022\014\n\004pool\030\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\016" +
+      "\n\006orders\030\003 \003(\004\"N\n\rResultRelease\022\014\n\004pool\030" +
+      "\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\017\n\007handles\030\003 \003(\t\022\016" +
+      "\n\006needed\030\004 \001(\010\"\213\001\n\nPeerStatus\0222\n\007servers" +
+      "\030\001 \003(\0132!.masticfold.gateway.ServerBacklo" +
+      "g\022\020\n\010draining\030\002 \001(\010\0227\n\013commitments\030\003 \003(\013" +
+      "2\".masticfold.gateway.PoolCommitment\".\n\016" +
+      "PoolCommitment\022\014\n\004pool\030\001 \001(\t\022\016\n\006pieces\030\002" +
+      " \001(\r\"k\n\rServerBacklog\022\016\n\006server\030\001 \001(\t\022\026\n" +
+      "\016backlog_millis\030\002 \001(\r\022\022\n\nroom_bytes\030\003 \001(" +
+      "\004\022\036\n\026on_time_backlog_millis\030\004 \001(\r\"H\n\020Kno" +
+      "wledgeRequest\0224\n\trevisions\030\001 \003(\0132!.masti" +
+      "cfold.gateway.KnownRevision\"/\n\rKnownRevi" +
+      "sion\022\014\n\004kind\030\001 \001(\r\022\020\n\010revision\030\002 \001(\004\"9\n\t" +
+      "Knowledge\022,\n\005kinds\030\001 \003(\0132\035.masticfold.ga" +
+      "teway.KnownKind\"]\n\tKnownKind\022\014\n\004kind\030\001 \001" +
+      "(\r\022\020\n\010revision\030\002 \001(\004\0220\n\007objects\030\003 \003(\0132\037." +
+      "masticfold.gateway.KnownObject\">\n\013KnownO" +
+      "bject\022\014\n\004name\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\017\n" +
+      "\007content\030\003 \001(\014B&\n io.masticfold.gateway." +
+      "peer.protoH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -181,81 +191,87 @@
     internal_static_masticfold_gateway_PieceOrder_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_PieceOrder_descriptor,
-        new java.lang.String[] { "Pool", "Server", "Pieces", });
-    internal_static_masticfold_gateway_Piece_descriptor =
+        new java.lang.String[] { "Pool", "Server", "Pieces", "Partition", "AnyServer", "InputBytes", "ReaderZone", });
+    internal_static_masticfold_gateway_ZoneBytes_descriptor =
       getDescriptor().getMessageType(3);
+    internal_static_masticfold_gateway_ZoneBytes_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_masticfold_gateway_ZoneBytes_descriptor,
+        new java.lang.String[] { "Zone", "Bytes", });
+    internal_static_masticfold_gateway_Piece_descriptor =
+      getDescriptor().getMessageType(4);
     internal_static_masticfold_gateway_Piece_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_Piece_descriptor,
         new java.lang.String[] { "Order", "Attempt", "Stage", "Piece", "LeftMillis", "Bytes", "Rank", "AgeMillis", "DueMillis", "Key", "Inputs", });
     internal_static_masticfold_gateway_PieceReply_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_masticfold_gateway_PieceReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_PieceReply_descriptor,
-        new java.lang.String[] { "Order", "Outcome", "Handle", });
+        new java.lang.String[] { "Order", "Outcome", "Handle", "Server", "Zone", });
     internal_static_masticfold_gateway_InputsRead_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_masticfold_gateway_InputsRead_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_InputsRead_descriptor,
         new java.lang.String[] { "Order", });
     internal_static_masticfold_gateway_PieceCancel_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_masticfold_gateway_PieceCancel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_PieceCancel_descriptor,
         new java.lang.String[] { "Pool", "Server", "Orders", });
     internal_static_masticfold_gateway_ResultRelease_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_masticfold_gateway_ResultRelease_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_ResultRelease_descriptor,
         new java.lang.String[] { "Pool", "Server", "Handles", "Needed", });
     internal_static_masticfold_gateway_PeerStatus_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_masticfold_gateway_PeerStatus_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_PeerStatus_descriptor,
         new java.lang.String[] { "Servers", "Draining", "Commitments", });
     internal_static_masticfold_gateway_PoolCommitment_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_masticfold_gateway_PoolCommitment_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_PoolCommitment_descriptor,
         new java.lang.String[] { "Pool", "Pieces", });
     internal_static_masticfold_gateway_ServerBacklog_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_masticfold_gateway_ServerBacklog_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_ServerBacklog_descriptor,
         new java.lang.String[] { "Server", "BacklogMillis", "RoomBytes", "OnTimeBacklogMillis", });
     internal_static_masticfold_gateway_KnowledgeRequest_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_masticfold_gateway_KnowledgeRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_KnowledgeRequest_descriptor,
         new java.lang.String[] { "Revisions", });
     internal_static_masticfold_gateway_KnownRevision_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_masticfold_gateway_KnownRevision_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_KnownRevision_descriptor,
         new java.lang.String[] { "Kind", "Revision", });
     internal_static_masticfold_gateway_Knowledge_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_masticfold_gateway_Knowledge_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_Knowledge_descriptor,
         new java.lang.String[] { "Kinds", });
     internal_static_masticfold_gateway_KnownKind_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_masticfold_gateway_KnownKind_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_KnownKind_descriptor,
         new java.lang.String[] { "Kind", "Revision", "Objects", });
     internal_static_masticfold_gateway_KnownObject_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_masticfold_gateway_KnownObject_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_KnownObject_descriptor,
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PieceOrder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PieceOrder.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Asks the owner of a stage server for pieces.
+ * Asks the owner of a partition of a stage pool for pieces.
  * </pre>
  *
  * Protobuf type {@code masticfold.gateway.PieceOrder}
@@ -35,6 +35,8 @@
     pool_ = "";
     server_ = "";
     pieces_ = java.util.Collections.emptyList();
+    inputBytes_ = java.util.Collections.emptyList();
+    readerZone_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -98,6 +100,10 @@
   @SuppressWarnings("serial")
   private volatile java.lang.Object server_ = "";
   /**
+   * <pre>
+   * Binding, unless any_server is set; senders without partitions choose the server.
+   * </pre>
+   *
    * <code>string server = 2;</code>
    * @return The server.
    */
@@ -115,6 +121,10 @@
     }
   }
   /**
+   * <pre>
+   * Binding, unless any_server is set; senders without partitions choose the server.
+   * </pre>
+   *
    * <code>string server = 2;</code>
    * @return The bytes for server.
    */
@@ -174,6 +184,136 @@
     return pieces_.get(index);
   }
 
+  public static final int PARTITION_FIELD_NUMBER = 4;
+  private int partition_ = 0;
+  /**
+   * <code>uint32 partition = 4;</code>
+   * @return The partition.
+   */
+  @java.lang.Override
+  public int getPartition() {
+    return partition_;
+  }
+
+  public static final int ANY_SERVER_FIELD_NUMBER = 5;
+  private boolean anyServer_ = false;
+  /**
+   * <code>bool any_server = 5;</code>
+   * @return The anyServer.
+   */
+  @java.lang.Override
+  public boolean getAnyServer() {
+    return anyServer_;
+  }
+
+  public static final int INPUT_BYTES_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private java.util.List<io.masticfold.gateway.peer.proto.ZoneBytes> inputBytes_;
+  /**
+   * <pre>
+   * Size of the inputs of each piece.
+   * </pre>
+   *
+   * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.masticfold.gateway.peer.proto.ZoneBytes> getInputBytesList() {
+    return inputBytes_;
+  }
+  /**
+   * <pre>
+   * Size of the inputs of each piece.
+   * </pre>
+   *
+   * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.masticfold.gateway.peer.proto.ZoneBytesOrBuilder> 
+      getInputBytesOrBuilderList() {
+    return inputBytes_;
+  }
+  /**
+   * <pre>
+   * Size of the inputs of each piece.
+   * </pre>
+   *
+   * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+   */
+  @java.lang.Override
+  public int getInputBytesCount() {
+    return inputBytes_.size();
+  }
+  /**
+   * <pre>
+   * Size of the inputs of each piece.
+   * </pre>
+   *
+   * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+   */
+  @java.lang.Override
+  public io.masticfold.gateway.peer.proto.ZoneBytes getInputBytes(int index) {
+    return inputBytes_.get(index);
+  }
+  /**
+   * <pre>
+   * Size of the inputs of each piece.
+   * </pre>
+   *
+   * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+   */
+  @java.lang.Override
+  public io.masticfold.gateway.peer.proto.ZoneBytesOrBuilder getInputBytesOrBuilder(
+      int index) {
+    return inputBytes_.get(index);
+  }
+
+  public static final int READER_ZONE_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object readerZone_ = "";
+  /**
+   * <pre>
+   * Availability zone in which the results will be read; empty if unknown.
+   * </pre>
+   *
+   * <code>string reader_zone = 7;</code>
+   * @return The readerZone.
+   */
+  @java.lang.Override
+  public java.lang.String getReaderZone() {
+    java.lang.Object ref = readerZone_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      readerZone_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Availability zone in which the results will be read; empty if unknown.
+   * </pre>
+   *
+   * <code>string reader_zone = 7;</code>
+   * @return The bytes for readerZone.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getReaderZoneBytes() {
+    java.lang.Object ref = readerZone_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      readerZone_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -197,6 +337,18 @@
     for (int i = 0; i < pieces_.size(); i++) {
       output.writeMessage(3, pieces_.get(i));
     }
+    if (partition_ != 0) {
+      output.writeUInt32(4, partition_);
+    }
+    if (anyServer_ != false) {
+      output.writeBool(5, anyServer_);
+    }
+    for (int i = 0; i < inputBytes_.size(); i++) {
+      output.writeMessage(6, inputBytes_.get(i));
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(readerZone_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 7, readerZone_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -216,6 +368,26 @@
           }
           size += 1 * count;
         }
+    if (partition_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(4, partition_);
+    }
+    if (anyServer_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(5, anyServer_);
+    }
+
+        {
+          final int count = inputBytes_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(inputBytes_.get(i));
+          }
+          size += 1 * count;
+        }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(readerZone_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(7, readerZone_);
+    }
     return size;
   }
   @java.lang.Override
@@ -246,6 +418,14 @@
         .equals(other.getServer())) return false;
     if (!getPiecesList()
         .equals(other.getPiecesList())) return false;
+    if (getPartition()
+        != other.getPartition()) return false;
+    if (getAnyServer()
+        != other.getAnyServer()) return false;
+    if (!getInputBytesList()
+        .equals(other.getInputBytesList())) return false;
+    if (!getReaderZone()
+        .equals(other.getReaderZone())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -265,6 +445,17 @@
       hash = (37 * hash) + PIECES_FIELD_NUMBER;
       hash = (53 * hash) + getPiecesList().hashCode();
     }
+    hash = (37 * hash) + PARTITION_FIELD_NUMBER;
+    hash = (53 * hash) + getPartition();
+    hash = (37 * hash) + ANY_SERVER_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getAnyServer());
+    if (getInputBytesCount() > 0) {
+      hash = (37 * hash) + INPUT_BYTES_FIELD_NUMBER;
+      hash = (53 * hash) + getInputBytesList().hashCode();
+    }
+    hash = (37 * hash) + READER_ZONE_FIELD_NUMBER;
+    hash = (53 * hash) + getReaderZone().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -364,7 +555,7 @@
   }
   /**
    * <pre>
-   * Asks the owner of a stage server for pieces.
+   * Asks the owner of a partition of a stage pool for pieces.
    * </pre>
    *
    * Protobuf type {@code masticfold.gateway.PieceOrder}
@@ -409,6 +600,16 @@
         piecesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000004);
+      partition_ = 0;
+      anyServer_ = false;
+      if (inputBytesBuilder_ == null) {
+        inputBytes_ = java.util.Collections.emptyList();
+      } else {
+        inputBytes_ = null;
+        inputBytesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000020);
+      readerZone_ = "";
       return this;
     }
 
@@ -451,6 +652,15 @@
       } else {
         result.pieces_ = piecesBuilder_.build();
       }
+      if (inputBytesBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0)) {
+          inputBytes_ = java.util.Collections.unmodifiableList(inputBytes_);
+          bitField0_ = (bitField0_ & ~0x00000020);
+        }
+        result.inputBytes_ = inputBytes_;
+      } else {
+        result.inputBytes_ = inputBytesBuilder_.build();
+      }
     }
 
     private void buildPartial0(io.masticfold.gateway.peer.proto.PieceOrder result) {
@@ -461,6 +671,15 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.server_ = server_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.partition_ = partition_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.anyServer_ = anyServer_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.readerZone_ = readerZone_;
+      }
     }
 
     @java.lang.Override
@@ -511,6 +730,43 @@
           }
         }
       }
+      if (other.getPartition() != 0) {
+        setPartition(other.getPartition());
+      }
+      if (other.getAnyServer() != false) {
+        setAnyServer(other.getAnyServer());
+      }
+      if (inputBytesBuilder_ == null) {
+        if (!other.inputBytes_.isEmpty()) {
+          if (inputBytes_.isEmpty()) {
+            inputBytes_ = other.inputBytes_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+          } else {
+            ensureInputBytesIsMutable();
+            inputBytes_.addAll(other.inputBytes_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.inputBytes_.isEmpty()) {
+          if (inputBytesBuilder_.isEmpty()) {
+            inputBytesBuilder_.dispose();
+            inputBytesBuilder_ = null;
+            inputBytes_ = other.inputBytes_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+            inputBytesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetInputBytesFieldBuilder() : null;
+          } else {
+            inputBytesBuilder_.addAllMessages(other.inputBytes_);
+          }
+        }
+      }
+      if (!other.getReaderZone().isEmpty()) {
+        readerZone_ = other.readerZone_;
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -558,6 +814,34 @@
               }
               break;
             } // case 26
+            case 32: {
+              partition_ = input.readUInt32();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
+            case 40: {
+              anyServer_ = input.readBool();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
+            case 50: {
+              io.masticfold.gateway.peer.proto.ZoneBytes m =
+                  input.readMessage(
+                      io.masticfold.gateway.peer.proto.ZoneBytes.parser(),
+                      extensionRegistry);
+              if (inputBytesBuilder_ == null) {
+                ensureInputBytesIsMutable();
+                inputBytes_.add(m);
+              } else {
+                inputBytesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 50
+            case 58: {
+              readerZone_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -649,6 +933,10 @@
 
     private java.lang.Object server_ = "";
     /**
+     * <pre>
+     * Binding, unless any_server is set; senders without partitions choose the server.
+     * </pre>
+     *
      * <code>string server = 2;</code>
      * @return The server.
      */
@@ -665,6 +953,10 @@
       }
     }
     /**
+     * <pre>
+     * Binding, unless any_server is set; senders without partitions choose the server.
+     * </pre>
+     *
      * <code>string server = 2;</code>
      * @return The bytes for server.
      */
@@ -682,6 +974,10 @@
       }
     }
     /**
+     * <pre>
+     * Binding, unless any_server is set; senders without partitions choose the server.
+     * </pre>
+     *
      * <code>string server = 2;</code>
      * @param value The server to set.
      * @return This builder for chaining.
@@ -695,6 +991,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Binding, unless any_server is set; senders without partitions choose the server.
+     * </pre>
+     *
      * <code>string server = 2;</code>
      * @return This builder for chaining.
      */
@@ -705,6 +1005,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Binding, unless any_server is set; senders without partitions choose the server.
+     * </pre>
+     *
      * <code>string server = 2;</code>
      * @param value The bytes for server to set.
      * @return This builder for chaining.
@@ -953,6 +1257,468 @@
       return piecesBuilder_;
     }
 
+    private int partition_ ;
+    /**
+     * <code>uint32 partition = 4;</code>
+     * @return The partition.
+     */
+    @java.lang.Override
+    public int getPartition() {
+      return partition_;
+    }
+    /**
+     * <code>uint32 partition = 4;</code>
+     * @param value The partition to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPartition(int value) {
+
+      partition_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint32 partition = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPartition() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      partition_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private boolean anyServer_ ;
+    /**
+     * <code>bool any_server = 5;</code>
+     * @return The anyServer.
+     */
+    @java.lang.Override
+    public boolean getAnyServer() {
+      return anyServer_;
+    }
+    /**
+     * <code>bool any_server = 5;</code>
+     * @param value The anyServer to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAnyServer(boolean value) {
+
+      anyServer_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool any_server = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAnyServer() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      anyServer_ = false;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<io.masticfold.gateway.peer.proto.ZoneBytes> inputBytes_ =
+      java.util.Collections.emptyList();
+    private void ensureInputBytesIsMutable() {
+      if (!((bitField0_ & 0x00000020) != 0)) {
+        inputBytes_ = new java.util.ArrayList<io.masticfold.gateway.peer.proto.ZoneBytes>(inputBytes_);
+        bitField0_ |= 0x00000020;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.masticfold.gateway.peer.proto.ZoneBytes, io.masticfold.gateway.peer.proto.ZoneBytes.Builder, io.masticfold.gateway.peer.proto.ZoneBytesOrBuilder> inputBytesBuilder_;
+
+    /**
+     * <pre>
+     * Size of the inputs of each piece.
+     * </pre>
+     *
+     * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+     */
+    public java.util.List<io.masticfold.gateway.peer.proto.ZoneBytes> getInputBytesList() {
+      if (inputBytesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(inputBytes_);
+      } else {
+        return inputBytesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Size of the inputs of each piece.
+     * </pre>
+     *
+     * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+     */
+    public int getInputBytesCount() {
+      if (inputBytesBuilder_ == null) {
+        return inputBytes_.size();
+      } else {
+        return inputBytesBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Size of the inputs of each piece.
+     * </pre>
+     *
+     * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+     */
+    public io.masticfold.gateway.peer.proto.ZoneBytes getInputBytes(int index) {
+      if (inputBytesBuilder_ == null) {
+        return inputBytes_.get(index);
+      } else {
+        return inputBytesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Size of the inputs of each piece.
+     * </pre>
+     *
+     * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+     */
+    public Builder setInputBytes(
+        int index, io.masticfold.gateway.peer.proto.ZoneBytes value) {
+      if (inputBytesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureInputBytesIsMutable();
+        inputBytes_.set(index, value);
+        onChanged();
+      } else {
+        inputBytesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Size of the inputs of each piece.
+     * </pre>
+     *
+     * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+     */
+    public Builder setInputBytes(
+        int index, io.masticfold.gateway.peer.proto.ZoneBytes.Builder builderForValue) {
+      if (inputBytesBuilder_ == null) {
+        ensureInputBytesIsMutable();
+        inputBytes_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        inputBytesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Size of the inputs of each piece.
+     * </pre>
+     *
+     * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+     */
+    public Builder addInputBytes(io.masticfold.gateway.peer.proto.ZoneBytes value) {
+      if (inputBytesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureInputBytesIsMutable();
+        inputBytes_.add(value);
+        onChanged();
+      } else {
+        inputBytesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Size of the inputs of each piece.
+     * </pre>
+     *
+     * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+     */
+    public Builder addInputBytes(
+        int index, io.masticfold.gateway.peer.proto.ZoneBytes value) {
+      if (inputBytesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureInputBytesIsMutable();
+        inputBytes_.add(index, value);
+        onChanged();
+      } else {
+        inputBytesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Size of the inputs of each piece.
+     * </pre>
+     *
+     * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+     */
+    public Builder addInputBytes(
+        io.masticfold.gateway.peer.proto.ZoneBytes.Builder builderForValue) {
+      if (inputBytesBuilder_ == null) {
+        ensureInputBytesIsMutable();
+        inputBytes_.add(builderForValue.build());
+        onChanged();
+      } else {
+        inputBytesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Size of the inputs of each piece.
+     * </pre>
+     *
+     * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+     */
+    public Builder addInputBytes(
+        int index, io.masticfold.gateway.peer.proto.ZoneBytes.Builder builderForValue) {
+      if (inputBytesBuilder_ == null) {
+        ensureInputBytesIsMutable();
+        inputBytes_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        inputBytesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Size of the inputs of each piece.
+     * </pre>
+     *
+     * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+     */
+    public Builder addAllInputBytes(
+        java.lang.Iterable<? extends io.masticfold.gateway.peer.proto.ZoneBytes> values) {
+      if (inputBytesBuilder_ == null) {
+        ensureInputBytesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, inputBytes_);
+        onChanged();
+      } else {
+        inputBytesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Size of the inputs of each piece.
+     * </pre>
+     *
+     * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+     */
+    public Builder clearInputBytes() {
+      if (inputBytesBuilder_ == null) {
+        inputBytes_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+      } else {
+        inputBytesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Size of the inputs of each piece.
+     * </pre>
+     *
+     * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+     */
+    public Builder removeInputBytes(int index) {
+      if (inputBytesBuilder_ == null) {
+        ensureInputBytesIsMutable();
+        inputBytes_.remove(index);
+        onChanged();
+      } else {
+        inputBytesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Size of the inputs of each piece.
+     * </pre>
+     *
+     * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+     */
+    public io.masticfold.gateway.peer.proto.ZoneBytes.Builder getInputBytesBuilder(
+        int index) {
+      return internalGetInputBytesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Size of the inputs of each piece.
+     * </pre>
+     *
+     * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+     */
+    public io.masticfold.gateway.peer.proto.ZoneBytesOrBuilder getInputBytesOrBuilder(
+        int index) {
+      if (inputBytesBuilder_ == null) {
+        return inputBytes_.get(index);  } else {
+        return inputBytesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Size of the inputs of each piece.
+     * </pre>
+     *
+     * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+     */
+    public java.util.List<? extends io.masticfold.gateway.peer.proto.ZoneBytesOrBuilder> 
+         getInputBytesOrBuilderList() {
+      if (inputBytesBuilder_ != null) {
+        return inputBytesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(inputBytes_);
+      }
+    }
+    /**
+     * <pre>
+     * Size of the inputs of each piece.
+     * </pre>
+     *
+     * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+     */
+    public io.masticfold.gateway.peer.proto.ZoneBytes.Builder addInputBytesBuilder() {
+      return internalGetInputBytesFieldBuilder().addBuilder(
+          io.masticfold.gateway.peer.proto.ZoneBytes.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Size of the inputs of each piece.
+     * </pre>
+     *
+     * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+     */
+    public io.masticfold.gateway.peer.proto.ZoneBytes.Builder addInputBytesBuilder(
+        int index) {
+      return internalGetInputBytesFieldBuilder().addBuilder(
+          index, io.masticfold.gateway.peer.proto.ZoneBytes.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Size of the inputs of each piece.
+     * </pre>
+     *
+     * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+     */
+    public java.util.List<io.masticfold.gateway.peer.proto.ZoneBytes.Builder> 
+         getInputBytesBuilderList() {
+      return internalGetInputBytesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.masticfold.gateway.peer.proto.ZoneBytes, io.masticfold.gateway.peer.proto.ZoneBytes.Builder, io.masticfold.gateway.peer.proto.ZoneBytesOrBuilder> 
+        internalGetInputBytesFieldBuilder() {
+      if (inputBytesBuilder_ == null) {
+        inputBytesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.masticfold.gateway.peer.proto.ZoneBytes, io.masticfold.gateway.peer.proto.ZoneBytes.Builder, io.masticfold.gateway.peer.proto.ZoneBytesOrBuilder>(
+                inputBytes_,
+                ((bitField0_ & 0x00000020) != 0),
+                getParentForChildren(),
+                isClean());
+        inputBytes_ = null;
+      }
+      return inputBytesBuilder_;
+    }
+
+    private java.lang.Object readerZone_ = "";
+    /**
+     * <pre>
+     * Availability zone in which the results will be read; empty if unknown.
+     * </pre>
+     *
+     * <code>string reader_zone = 7;</code>
+     * @return The readerZone.
+     */
+    public java.lang.String getReaderZone() {
+      java.lang.Object ref = readerZone_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        readerZone_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Availability zone in which the results will be read; empty if unknown.
+     * </pre>
+     *
+     * <code>string reader_zone = 7;</code>
+     * @return The bytes for readerZone.
+     */
+    public com.google.protobuf.ByteString
+        getReaderZoneBytes() {
+      java.lang.Object ref = readerZone_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        readerZone_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Availability zone in which the results will be read; empty if unknown.
+     * </pre>
+     *
+     * <code>string reader_zone = 7;</code>
+     * @param value The readerZone to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReaderZone(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      readerZone_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Availability zone in which the results will be read; empty if unknown.
+     * </pre>
+     *
+     * <code>string reader_zone = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReaderZone() {
+      readerZone_ = getDefaultInstance().getReaderZone();
+      bitField0_ = (bitField0_ & ~0x00000040);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Availability zone in which the results will be read; empty if unknown.
+     * </pre>
+     *
+     * <code>string reader_zone = 7;</code>
+     * @param value The bytes for readerZone to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReaderZoneBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      readerZone_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:masticfold.gateway.PieceOrder)
   }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PieceOrderOrBuilder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PieceOrderOrBuilder.java
@@ -23,11 +23,19 @@
       getPoolBytes();
 
   /**
+   * <pre>
+   * Binding, unless any_server is set; senders without partitions choose the server.
+   * </pre>
+   *
    * <code>string server = 2;</code>
    * @return The server.
    */
   java.lang.String getServer();
   /**
+   * <pre>
+   * Binding, unless any_server is set; senders without partitions choose the server.
+   * </pre>
+   *
    * <code>string server = 2;</code>
    * @return The bytes for server.
    */
@@ -57,4 +65,80 @@
    */
   io.masticfold.gateway.peer.proto.PieceOrBuilder getPiecesOrBuilder(
       int index);
+
+  /**
+   * <code>uint32 partition = 4;</code>
+   * @return The partition.
+   */
+  int getPartition();
+
+  /**
+   * <code>bool any_server = 5;</code>
+   * @return The anyServer.
+   */
+  boolean getAnyServer();
+
+  /**
+   * <pre>
+   * Size of the inputs of each piece.
+   * </pre>
+   *
+   * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+   */
+  java.util.List<io.masticfold.gateway.peer.proto.ZoneBytes> 
+      getInputBytesList();
+  /**
+   * <pre>
+   * Size of the inputs of each piece.
+   * </pre>
+   *
+   * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+   */
+  io.masticfold.gateway.peer.proto.ZoneBytes getInputBytes(int index);
+  /**
+   * <pre>
+   * Size of the inputs of each piece.
+   * </pre>
+   *
+   * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+   */
+  int getInputBytesCount();
+  /**
+   * <pre>
+   * Size of the inputs of each piece.
+   * </pre>
+   *
+   * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+   */
+  java.util.List<? extends io.masticfold.gateway.peer.proto.ZoneBytesOrBuilder> 
+      getInputBytesOrBuilderList();
+  /**
+   * <pre>
+   * Size of the inputs of each piece.
+   * </pre>
+   *
+   * <code>repeated .masticfold.gateway.ZoneBytes input_bytes = 6;</code>
+   */
+  io.masticfold.gateway.peer.proto.ZoneBytesOrBuilder getInputBytesOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * Availability zone in which the results will be read; empty if unknown.
+   * </pre>
+   *
+   * <code>string reader_zone = 7;</code>
+   * @return The readerZone.
+   */
+  java.lang.String getReaderZone();
+  /**
+   * <pre>
+   * Availability zone in which the results will be read; empty if unknown.
+   * </pre>
+   *
+   * <code>string reader_zone = 7;</code>
+   * @return The bytes for readerZone.
+   */
+  com.google.protobuf.ByteString
+      getReaderZoneBytes();
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PieceReply.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PieceReply.java
@@ -29,6 +29,8 @@
   }
   private PieceReply() {
     handle_ = "";
+    server_ = "";
+    zone_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -114,6 +116,100 @@
     }
   }
 
+  public static final int SERVER_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object server_ = "";
+  /**
+   * <pre>
+   * Server that processed the piece; empty if the sender knows no partitions or none did.
+   * </pre>
+   *
+   * <code>string server = 4;</code>
+   * @return The server.
+   */
+  @java.lang.Override
+  public java.lang.String getServer() {
+    java.lang.Object ref = server_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      server_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Server that processed the piece; empty if the sender knows no partitions or none did.
+   * </pre>
+   *
+   * <code>string server = 4;</code>
+   * @return The bytes for server.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getServerBytes() {
+    java.lang.Object ref = server_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      server_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int ZONE_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object zone_ = "";
+  /**
+   * <pre>
+   * Availability zone of that server.
+   * </pre>
+   *
+   * <code>string zone = 5;</code>
+   * @return The zone.
+   */
+  @java.lang.Override
+  public java.lang.String getZone() {
+    java.lang.Object ref = zone_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      zone_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Availability zone of that server.
+   * </pre>
+   *
+   * <code>string zone = 5;</code>
+   * @return The bytes for zone.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getZoneBytes() {
+    java.lang.Object ref = zone_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      zone_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -137,6 +233,12 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(handle_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 3, handle_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 4, server_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 5, zone_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -152,6 +254,12 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(handle_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(3, handle_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(4, server_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(5, zone_);
+    }
     return size;
   }
   @java.lang.Override
@@ -182,6 +290,10 @@
         != other.getOutcome()) return false;
     if (!getHandle()
         .equals(other.getHandle())) return false;
+    if (!getServer()
+        .equals(other.getServer())) return false;
+    if (!getZone()
+        .equals(other.getZone())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -200,6 +312,10 @@
     hash = (53 * hash) + getOutcome();
     hash = (37 * hash) + HANDLE_FIELD_NUMBER;
     hash = (53 * hash) + getHandle().hashCode();
+    hash = (37 * hash) + SERVER_FIELD_NUMBER;
+    hash = (53 * hash) + getServer().hashCode();
+    hash = (37 * hash) + ZONE_FIELD_NUMBER;
+    hash = (53 * hash) + getZone().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -334,6 +450,8 @@
       order_ = 0L;
       outcome_ = 0;
       handle_ = "";
+      server_ = "";
+      zone_ = "";
       return this;
     }
 
@@ -376,6 +494,12 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.handle_ = handle_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.server_ = server_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.zone_ = zone_;
+      }
     }
 
     @java.lang.Override
@@ -401,6 +525,16 @@
         bitField0_ |= 0x00000004;
         onChanged();
       }
+      if (!other.getServer().isEmpty()) {
+        server_ = other.server_;
+        bitField0_ |= 0x00000008;
+        onChanged();
+      }
+      if (!other.getZone().isEmpty()) {
+        zone_ = other.zone_;
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -440,6 +574,16 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 26
+            case 34: {
+              server_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 34
+            case 42: {
+              zone_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -605,6 +749,190 @@
       return this;
     }
 
+    private java.lang.Object server_ = "";
+    /**
+     * <pre>
+     * Server that processed the piece; empty if the sender knows no partitions or none did.
+     * </pre>
+     *
+     * <code>string server = 4;</code>
+     * @return The server.
+     */
+    public java.lang.String getServer() {
+      java.lang.Object ref = server_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        server_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Server that processed the piece; empty if the sender knows no partitions or none did.
+     * </pre>
+     *
+     * <code>string server = 4;</code>
+     * @return The bytes for server.
+     */
+    public com.google.protobuf.ByteString
+        getServerBytes() {
+      java.lang.Object ref = server_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        server_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Server that processed the piece; empty if the sender knows no partitions or none did.
+     * </pre>
+     *
+     * <code>string server = 4;</code>
+     * @param value The server to set.
+     * @return This builder for chaining.
+     */
+    public Builder setServer(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      server_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Server that processed the piece; empty if the sender knows no partitions or none did.
+     * </pre>
+     *
+     * <code>string server = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearServer() {
+      server_ = getDefaultInstance().getServer();
+      bitField0_ = (bitField0_ & ~0x00000008);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Server that processed the piece; empty if the sender knows no partitions or none did.
+     * </pre>
+     *
+     * <code>string server = 4;</code>
+     * @param value The bytes for server to set.
+     * @return This builder for chaining.
+     */
+    public Builder setServerBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      server_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object zone_ = "";
+    /**
+     * <pre>
+     * Availability zone of that server.
+     * </pre>
+     *
+     * <code>string zone = 5;</code>
+     * @return The zone.
+     */
+    public java.lang.String getZone() {
+      java.lang.Object ref = zone_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        zone_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Availability zone of that server.
+     * </pre>
+     *
+     * <code>string zone = 5;</code>
+     * @return The bytes for zone.
+     */
+    public com.google.protobuf.ByteString
+        getZoneBytes() {
+      java.lang.Object ref = zone_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        zone_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Availability zone of that server.
+     * </pre>
+     *
+     * <code>string zone = 5;</code>
+     * @param value The zone to set.
+     * @return This builder for chaining.
+     */
+    public Builder setZone(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      zone_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Availability zone of that server.
+     * </pre>
+     *
+     * <code>string zone = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearZone() {
+      zone_ = getDefaultInstance().getZone();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Availability zone of that server.
+     * </pre>
+     *
+     * <code>string zone = 5;</code>
+     * @param value The bytes for zone to set.
+     * @return This builder for chaining.
+     */
+    public Builder setZoneBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      zone_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:masticfold.gateway.PieceReply)
   }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PieceReplyOrBuilder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PieceReplyOrBuilder.java
@@ -37,4 +37,44 @@
    */
   com.google.protobuf.ByteString
       getHandleBytes();
+
+  /**
+   * <pre>
+   * Server that processed the piece; empty if the sender knows no partitions or none did.
+   * </pre>
+   *
+   * <code>string server = 4;</code>
+   * @return The server.
+   */
+  java.lang.String getServer();
+  /**
+   * <pre>
+   * Server that processed the piece; empty if the sender knows no partitions or none did.
+   * </pre>
+   *
+   * <code>string server = 4;</code>
+   * @return The bytes for server.
+   */
+  com.google.protobuf.ByteString
+      getServerBytes();
+
+  /**
+   * <pre>
+   * Availability zone of that server.
+   * </pre>
+   *
+   * <code>string zone = 5;</code>
+   * @return The zone.
+   */
+  java.lang.String getZone();
+  /**
+   * <pre>
+   * Availability zone of that server.
+   * </pre>
+   *
+   * <code>string zone = 5;</code>
+   * @return The bytes for zone.
+   */
+  com.google.protobuf.ByteString
+      getZoneBytes();
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/DispatchListener.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/DispatchListener.java
@@ -8,6 +8,10 @@
     /** Called when the inputs of a piece have been read; they are needed again only if the piece fails. */
     void inputsRead(long dispatchId);
 
-    /** Called with the outcome of a piece. */
-    void completed(long dispatchId, PieceOutcome outcome);
+    /**
+     * Called with the outcome of a piece.
+     *
+     * @param location server that processed the piece, or failed to
+     */
+    void completed(long dispatchId, PieceOutcome outcome, PieceLocation location);
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/OwnedServerQueues.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/OwnedPoolQueues.java
@@ -1,6 +1,6 @@
 package io.masticfold.gateway.stage;
 
-import io.masticfold.core.directory.TargetRecord;
+import io.masticfold.core.stage.StagePartitions;
 import io.masticfold.core.time.Deadline;
 import io.masticfold.gateway.context.GatewayContext;
 import io.masticfold.gateway.peer.PeerCaller;
@@ -13,90 +13,80 @@
 import io.masticfold.gateway.peer.proto.PieceReply;
 import io.masticfold.gateway.peer.proto.ResultRelease;
 import io.masticfold.gateway.peer.proto.ServerBacklog;
+import io.masticfold.gateway.peer.proto.ZoneBytes;
 import io.masticfold.gateway.protocol.PieceOutcome;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
-/** Holds the queues of the stage servers that this gateway owns; each queue holds pieces from all gateways. */
-final class OwnedServerQueues {
+/** Holds the queues of the stage pools' partitions that this gateway owns; each holds pieces from all gateways. */
+final class OwnedPoolQueues {
 
     private final GatewayContext context;
-    private final Map<String, StageServerQueue> queues = new HashMap<>();
+    private final Map<String, StagePoolQueue> queues = new HashMap<>();
     private final Map<PeerCaller, PeerDispatchListener> peerListeners = new HashMap<>();
 
-    OwnedServerQueues(GatewayContext context) {
+    OwnedPoolQueues(GatewayContext context) {
         this.context = context;
     }
 
-    /** Adds a piece to the queue of a server; reports {@code NOT_SENT} if the server is unknown. */
-    void add(String pool, String server, QueuedPiece piece) {
-        Optional<StageServerQueue> queue = queueFor(pool, server);
-        if (queue.isPresent()) {
-            queue.get().add(piece);
-        } else {
-            // Asynchronous because the listener may add pieces again.
-            context.scheduler().schedule(Duration.ZERO, () -> piece.listener()
-                    .completed(piece.dispatchId(), new PieceOutcome(PieceOutcome.Kind.NOT_SENT, "")));
-        }
+    /** Adds a piece to the queue of a partition of a pool. */
+    void add(String pool, int partition, QueuedPiece piece) {
+        queues.computeIfAbsent(
+                        StagePartitions.key(pool, partition), _key -> new StagePoolQueue(context, pool, partition))
+                .add(piece);
     }
 
-    void cancel(String server, DispatchListener listener, long dispatchId) {
-        StageServerQueue queue = queues.get(server);
-        if (queue != null) {
-            queue.cancel(listener, dispatchId);
-        }
+    void cancel(DispatchListener listener, long dispatchId) {
+        queues.values().stream().anyMatch(queue -> queue.cancel(listener, dispatchId));
     }
 
     void release(String pool, String server, List<String> handles, boolean mayBeNeeded) {
-        queueFor(pool, server).ifPresent(queue -> queue.release(handles, mayBeNeeded));
+        find(pool, server).ifPresent(queue -> queue.release(server, handles, mayBeNeeded));
     }
 
-    Optional<StageServerQueue> find(String server) {
-        return Optional.ofNullable(queues.get(server));
+    /** Returns the queue of the partition to which a server belongs. */
+    Optional<StagePoolQueue> find(String pool, String server) {
+        return Optional.ofNullable(queues.get(StagePartitions.key(pool, partitionOf(pool, server))));
     }
 
-    private Optional<StageServerQueue> queueFor(String pool, String server) {
-        Optional<TargetRecord> target = context.view().directory().find(server).filter(found -> found.pool()
-                .equals(pool));
-        if (target.isEmpty()) {
-            return Optional.ofNullable(queues.get(server));
-        }
-        StageServerQueue known = queues.get(server);
-        if (known != null && known.server().sameIncarnation(target.get())) {
-            return Optional.of(known);
-        }
-        StageServerQueue fresh = new StageServerQueue(context, pool, target.get());
-        queues.put(server, fresh);
-        return Optional.of(fresh);
+    /** Returns the partition to which a server of a pool belongs at present. */
+    int partitionOf(String pool, String server) {
+        int servers = context.view().directory().usable(pool).size();
+        return StagePartitions.partitionOf(server, StagePartitions.count(servers));
     }
 
     /** Returns the status of the queues for the peers. */
     PeerStatus.Builder status() {
-        queues.entrySet().removeIf(entry -> isObsolete(entry.getKey(), entry.getValue()));
+        queues.values().removeIf(StagePoolQueue::obsolete);
         PeerStatus.Builder status = PeerStatus.newBuilder();
-        queues.forEach((server, queue) -> status.addServers(ServerBacklog.newBuilder()
-                .setServer(server)
-                .setBacklogMillis((int) queue.backlogMillis())
-                .setOnTimeBacklogMillis((int) queue.onTimeBacklogMillis())
-                .setRoomBytes(Math.max(0, queue.freeBytes()))));
+        for (StagePoolQueue queue : queues.values()) {
+            Map<String, Double> onTime = queue.backlogMillis(true);
+            queue.backlogMillis(false)
+                    .forEach((server, millis) -> status.addServers(ServerBacklog.newBuilder()
+                            .setServer(server)
+                            .setBacklogMillis(millis.intValue())
+                            .setOnTimeBacklogMillis(
+                                    onTime.getOrDefault(server, millis).intValue())
+                            .setRoomBytes(Math.max(0, queue.freeBytes(server).orElse(0L)))));
+        }
         return status;
     }
 
-    private boolean isObsolete(String server, StageServerQueue queue) {
-        return queue.idle() && context.view().directory().find(server).isEmpty();
-    }
-
     /** Queues the pieces of a peer. */
     void queuePieces(PeerCaller caller, PieceOrder order) {
         PeerDispatchListener listener = peerListeners.computeIfAbsent(caller, PeerDispatchListener::new);
         long now = context.scheduler().nanoTime();
+        int partition = order.getAnyServer() ? order.getPartition() : partitionOf(order.getPool(), order.getServer());
+        Map<String, Long> inputBytes = order.getInputBytesList().stream()
+                .collect(Collectors.toMap(ZoneBytes::getZone, ZoneBytes::getBytes, Long::sum));
         for (Piece piece : order.getPiecesList()) {
             add(
                     order.getPool(),
-                    order.getServer(),
+                    partition,
                     new QueuedPiece(
                             piece.getOrder(),
                             listener,
@@ -109,7 +99,9 @@
                             piece.getRank(),
                             now - Duration.ofMillis(piece.getAgeMillis()).toNanos(),
                             now + Duration.ofMillis(piece.getDueMillis()).toNanos(),
-                            Deadline.after(context.scheduler(), Duration.ofMillis(piece.getLeftMillis()))));
+                            Deadline.after(context.scheduler(), Duration.ofMillis(piece.getLeftMillis())),
+                            PieceDispatch.zoneBytes(inputBytes, order.getReaderZone(), piece.getBytes()),
+                            order.getAnyServer() ? null : order.getServer()));
         }
     }
 
@@ -117,7 +109,7 @@
     void cancelPieces(PeerCaller caller, PieceCancel cancel) {
         PeerDispatchListener listener = peerListeners.get(caller);
         if (listener != null) {
-            cancel.getOrdersList().forEach(order -> cancel(cancel.getServer(), listener, order));
+            cancel.getOrdersList().forEach(order -> cancel(listener, order));
         }
     }
 
@@ -145,12 +137,14 @@
         }
 
         @Override
-        public void completed(long dispatchId, PieceOutcome outcome) {
+        public void completed(long dispatchId, PieceOutcome outcome, PieceLocation location) {
             caller.send(PeerFrame.newBuilder()
                     .setReply(PieceReply.newBuilder()
                             .setOrder(dispatchId)
                             .setOutcome(outcome.kind().ordinal())
-                            .setHandle(outcome.handle()))
+                            .setHandle(outcome.handle())
+                            .setServer(location.server())
+                            .setZone(location.zone()))
                     .build());
         }
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/PendingPiece.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/PendingPiece.java
@@ -2,6 +2,7 @@
 
 import io.masticfold.core.time.Deadline;
 import java.util.List;
+import java.util.Map;
 
 /**
  * Describes one piece of a stage that a request needs to be processed.
@@ -31,10 +32,10 @@
         Deadline deadline,
         PieceListener listener) {
 
-    QueuedPiece toQueued(long dispatchId, DispatchListener listener) {
+    QueuedPiece toQueued(long dispatchId, DispatchListener dispatchListener, Map<String, Long> zoneBytes) {
         return new QueuedPiece(
                 dispatchId,
-                listener,
+                dispatchListener,
                 attemptId,
                 stage,
                 piece,
@@ -44,6 +45,8 @@
                 rank,
                 startedNanos,
                 dueNanos,
-                deadline);
+                deadline,
+                zoneBytes,
+                null);
     }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/PieceDispatch.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/PieceDispatch.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway.stage;
 
+import java.util.HashMap;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 
@@ -18,10 +19,10 @@
     /** Number of the current dispatch, unique within this gateway. */
     long id;
 
+    /** Server that is expected to process the piece; after a failure the one that did not. */
     String server = "";
-    String zone = "";
 
-    /** Peer that owns the server; empty if this gateway owns it. */
+    /** Peer that owns the partition of the pool; empty if this gateway owns it. */
     String owner = "";
 
     /** Number of dispatches that may have reached a server. */
@@ -39,4 +40,25 @@
         this.inputBytes = Map.copyOf(inputBytes);
         this.readerZone = readerZone;
     }
+
+    /** Returns the bytes of inputs and results that stay in each availability zone if the piece is processed there. */
+    Map<String, Long> zoneBytes() {
+        return zoneBytes(inputBytes, readerZone == null ? "" : readerZone, piece.bytes());
+    }
+
+    /**
+     * Returns the bytes that stay in each availability zone if a piece is processed there.
+     *
+     * @param inputBytes size of the inputs, in bytes, by availability zone
+     * @param readerZone availability zone in which the result will be read; empty if unknown
+     * @param resultBytes size of the result, in bytes
+     */
+    static Map<String, Long> zoneBytes(Map<String, Long> inputBytes, String readerZone, long resultBytes) {
+        if (readerZone.isEmpty()) {
+            return inputBytes;
+        }
+        Map<String, Long> bytes = new HashMap<>(inputBytes);
+        bytes.merge(readerZone, resultBytes, Long::sum);
+        return bytes;
+    }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/QueuedPiece.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/QueuedPiece.java
@@ -5,6 +5,9 @@
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Describes a piece in the queue of a stage server.
@@ -21,6 +24,9 @@
  * @param startedNanos monotonic time at which the request was received
  * @param dueNanos monotonic time by which the piece must be complete for the request to meet its latency target
  * @param deadline time after which the result is not needed
+ * @param zoneBytes for each availability zone, the bytes of inputs and results that stay there if a server of that zone
+ *     processes the piece
+ * @param server id of the only server that may process the piece; null if every server of the pool may
  */
 record QueuedPiece(
         long dispatchId,
@@ -34,7 +40,14 @@
         int rank,
         long startedNanos,
         long dueNanos,
-        Deadline deadline) {
+        Deadline deadline,
+        Map<String, Long> zoneBytes,
+        @Nullable String server) {
+
+    /** Copies the map. */
+    QueuedPiece {
+        zoneBytes = Map.copyOf(zoneBytes);
+    }
 
     /** Sorts by urgency, then by arrival; keeps the pieces of a request together. */
     private static final Comparator<QueuedPiece> BY_URGENCY = Comparator.comparingInt(QueuedPiece::rank)
@@ -54,6 +67,14 @@
                 .thenComparing(BY_URGENCY);
     }
 
+    /** Returns whether another piece belongs to the same stage of the same request. */
+    boolean sameStage(QueuedPiece other) {
+        return stage == other.stage
+                && listener == other.listener
+                && attemptId.equals(other.attemptId)
+                && Objects.equals(server, other.server);
+    }
+
     /**
      * Returns the representation of the piece in a call.
      *
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageDispatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageDispatcher.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway.stage;
 
+import io.masticfold.core.directory.TargetRecord;
 import io.masticfold.core.forward.StagePoolSpec;
 import io.masticfold.core.retry.RetryBudget;
 import io.masticfold.core.stage.StageServerSelection;
@@ -21,14 +22,14 @@
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
-/** Assigns the pieces of this gateway's requests to stage servers and sends them to the owners. Not thread-safe. */
+/** Sends the pieces of this gateway's requests to the owners of the stage pools. Not thread-safe. */
 public final class StageDispatcher implements DispatchListener {
 
     private static final double NANOS_PER_MILLI = 1e6;
 
     private final GatewayContext context;
     private final PieceRetryPolicy retryPolicy;
-    private final OwnedServerQueues ownedQueues;
+    private final OwnedPoolQueues ownedQueues;
     private final StageServerRegistry servers;
     private final Map<Long, PieceDispatch> dispatches = new HashMap<>();
     private @Nullable PeerLinks peers;
@@ -43,7 +44,7 @@
     public StageDispatcher(GatewayContext context, Function<String, RetryBudget> newBudget) {
         this.context = context;
         this.retryPolicy = new PieceRetryPolicy(context, newBudget);
-        this.ownedQueues = new OwnedServerQueues(context);
+        this.ownedQueues = new OwnedPoolQueues(context);
         this.servers = new StageServerRegistry(context, ownedQueues);
     }
 
@@ -99,56 +100,48 @@
             failAsync(group);
             return;
         }
-        int together = StageServerSelection.maxPiecesPerServer(
-                spec.get(), group.get(0).piece.bytes());
-        for (int from = 0; from < group.size(); from += together) {
-            sendToServer(pool, spec.get(), group.subList(from, Math.min(group.size(), from + together)));
-        }
-    }
-
-    private void sendToServer(String pool, StagePoolSpec spec, List<PieceDispatch> group) {
-        long bytes =
-                group.stream().mapToLong(dispatch -> dispatch.piece.bytes()).sum();
+        PieceDispatch first = group.get(0);
+        int together = Math.min(group.size(), StageServerSelection.maxPiecesPerServer(spec.get(), first.piece.bytes()));
         List<StageServerView> views = context.view().directory().usable(pool).stream()
-                .map(target -> servers.view(target, spec, isOnTime(group.get(0))))
+                .map(target -> servers.view(target, spec.get(), isOnTime(first)))
                 .toList();
-        Optional<StageServerView> choice =
-                StageServerSelection.choose(views, bytes, zoneBytes(group, bytes), slackMillis(group.get(0)));
-        if (choice.isEmpty()) {
+        Optional<StageServerView> expected = StageServerSelection.choose(
+                views, together * first.piece.bytes(), groupZoneBytes(group), slackMillis(first));
+        if (expected.isEmpty()) {
             failAsync(group);
             return;
         }
-        String server = choice.get().id();
-        String ownerName = servers.ownerOf(server);
-        boolean local = ownerName.equals(context.settings().node());
+        String server = expected.get().id();
         servers.estimate(server)
                 .recordSent(
-                        group.size() * spec.pieceMillis(),
-                        bytes,
+                        group.size() * spec.get().pieceMillis(),
+                        group.size() * first.piece.bytes(),
                         context.scheduler().nanoTime());
+        send(pool, servers.partitionOf(pool, server), server, group);
+    }
+
+    private void send(String pool, int partition, String server, List<PieceDispatch> group) {
+        String ownerName = servers.ownerOf(pool, partition);
+        boolean local = ownerName.equals(context.settings().node());
         for (PieceDispatch dispatch : group) {
             dispatch.id = ++lastDispatchId;
             dispatch.server = server;
-            dispatch.zone = choice.get().zone();
             dispatch.owner = local ? "" : ownerName;
             dispatch.sends++;
             dispatch.dispatchedNanos = context.scheduler().nanoTime();
             dispatches.put(dispatch.id, dispatch);
         }
         if (local) {
-            group.forEach(dispatch -> ownedQueues.add(pool, server, dispatch.piece.toQueued(dispatch.id, this)));
+            group.forEach(dispatch ->
+                    ownedQueues.add(pool, partition, dispatch.piece.toQueued(dispatch.id, this, dispatch.zoneBytes())));
         } else {
-            sendToPeer(ownerName, StageMessages.pieceOrder(context.scheduler(), pool, server, group));
+            sendToPeer(ownerName, StageMessages.pieceOrder(context.scheduler(), pool, partition, server, group));
         }
     }
 
-    private static Map<String, Long> zoneBytes(List<PieceDispatch> group, long resultBytes) {
-        PieceDispatch any = group.get(0);
+    private static Map<String, Long> groupZoneBytes(List<PieceDispatch> group) {
         Map<String, Long> bytes = new HashMap<>();
-        any.inputBytes.forEach((zone, size) -> bytes.put(zone, size * group.size()));
-        if (any.readerZone != null) {
-            bytes.merge(any.readerZone, resultBytes, Long::sum);
-        }
+        group.forEach(dispatch -> dispatch.zoneBytes().forEach((zone, size) -> bytes.merge(zone, size, Long::sum)));
         return bytes;
     }
 
@@ -186,7 +179,7 @@
             // A piece that is already in a call still completes; its result is released then.
             dispatch.cancelled = true;
             if (dispatch.owner.isEmpty()) {
-                ownedQueues.cancel(dispatch.server, this, dispatch.id);
+                ownedQueues.cancel(this, dispatch.id);
             } else {
                 sendToPeer(dispatch.owner, StageMessages.pieceCancel(dispatch));
             }
@@ -208,7 +201,7 @@
         byServer.forEach((server, group) -> {
             List<String> handles = group.stream().map(StageResult::handle).toList();
             String pool = group.get(0).pool();
-            String ownerName = servers.ownerOf(server);
+            String ownerName = servers.ownerOf(pool, servers.partitionOf(pool, server));
             if (ownerName.equals(context.settings().node())) {
                 ownedQueues.release(pool, server, handles, mayBeNeeded);
             } else {
@@ -226,13 +219,17 @@
     }
 
     @Override
-    public void completed(long dispatchId, PieceOutcome outcome) {
+    public void completed(long dispatchId, PieceOutcome outcome, PieceLocation location) {
         PieceDispatch dispatch = dispatches.remove(dispatchId);
         if (dispatch == null) {
             return;
         }
+        if (!location.server().isEmpty()) {
+            dispatch.server = location.server();
+        }
         if (outcome.kind() == PieceOutcome.Kind.MADE) {
-            StageResult result = new StageResult(outcome.handle(), dispatch.pool, dispatch.server, dispatch.zone);
+            StageResult result =
+                    new StageResult(outcome.handle(), dispatch.pool, dispatch.server, zone(dispatch.server, location));
             if (dispatch.cancelled) {
                 release(List.of(result));
             } else {
@@ -259,6 +256,17 @@
         }
     }
 
+    /** Returns the zone of a server; a peer without partitions does not tell it. */
+    private String zone(String server, PieceLocation location) {
+        return location.zone().isEmpty()
+                ? context.view()
+                        .directory()
+                        .find(server)
+                        .map(TargetRecord::zone)
+                        .orElse("")
+                : location.zone();
+    }
+
     private void retryOrFail(PieceDispatch dispatch, boolean allowed) {
         if (allowed) {
             dispatch(dispatch.pool, List.of(dispatch));
@@ -282,7 +290,10 @@
             PieceOutcome.Kind[] kinds = PieceOutcome.Kind.values();
             PieceOutcome.Kind kind =
                     reply.getOutcome() < kinds.length ? kinds[reply.getOutcome()] : PieceOutcome.Kind.FAILED;
-            completed(reply.getOrder(), new PieceOutcome(kind, reply.getHandle()));
+            completed(
+                    reply.getOrder(),
+                    new PieceOutcome(kind, reply.getHandle()),
+                    new PieceLocation(reply.getServer(), reply.getZone()));
         } else if (frame.hasInputsRead()) {
             inputsRead(frame.getInputsRead().getOrder());
         } else if (frame.hasStatus()) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageMessages.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageMessages.java
@@ -6,17 +6,27 @@
 import io.masticfold.gateway.peer.proto.PieceCancel;
 import io.masticfold.gateway.peer.proto.PieceOrder;
 import io.masticfold.gateway.peer.proto.ResultRelease;
+import io.masticfold.gateway.peer.proto.ZoneBytes;
 import java.util.List;
 
-/** Encodes requests to the owner of a stage server. Times are sent as durations because clocks differ. */
+/** Encodes requests to the owner of a partition of a stage pool. Times are sent as durations because clocks differ. */
 final class StageMessages {
 
     private static final double NANOS_PER_MILLI = 1e6;
 
     private StageMessages() {}
 
-    static PeerFrame pieceOrder(TimeSource time, String pool, String server, List<PieceDispatch> dispatches) {
-        PieceOrder.Builder frame = PieceOrder.newBuilder().setPool(pool).setServer(server);
+    static PeerFrame pieceOrder(
+            TimeSource time, String pool, int partition, String server, List<PieceDispatch> dispatches) {
+        PieceDispatch any = dispatches.get(0);
+        PieceOrder.Builder frame = PieceOrder.newBuilder()
+                .setPool(pool)
+                .setPartition(partition)
+                .setServer(server)
+                .setAnyServer(true)
+                .setReaderZone(any.readerZone == null ? "" : any.readerZone);
+        any.inputBytes.forEach((zone, bytes) ->
+                frame.addInputBytes(ZoneBytes.newBuilder().setZone(zone).setBytes(bytes)));
         long now = time.nanoTime();
         for (PieceDispatch dispatch : dispatches) {
             PendingPiece piece = dispatch.piece;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerQueue.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServer.java
@@ -3,7 +3,7 @@
 import io.masticfold.core.directory.TargetRecord;
 import io.masticfold.core.error.MasticfoldException;
 import io.masticfold.core.forward.StagePoolSpec;
-import io.masticfold.core.stage.StageBatching;
+import io.masticfold.core.stage.StageServerLoad;
 import io.masticfold.gateway.context.GatewayContext;
 import io.masticfold.gateway.http.CallResult;
 import io.masticfold.gateway.protocol.PieceOutcome;
@@ -14,8 +14,12 @@
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 
-/** Queues the pieces of all gateways for one stage server and sends them, one call at a time. Not thread-safe. */
-final class StageServerQueue {
+/**
+ * Calls one stage server, one call at a time, and tracks its storage, its speed and its failures. Not thread-safe.
+ *
+ * <p>The pieces wait in the {@link StagePoolQueue} of the server's partition.
+ */
+final class StageServer {
 
     /** Pause after the server refused a call because its queue was full. */
     static final Duration QUEUE_FULL_PAUSE = Duration.ofMillis(40);
@@ -44,45 +48,48 @@
     private final StageServerState serverState;
     private final ResultReleaser releaser;
     private final StageCallLog callLog;
-    private final WaitingPieces waiting;
+    private final StageServerListener listener;
     private @Nullable StageCall current;
     private int abandonedCalls;
-    private boolean sendScheduled;
     private int queueFullResponses;
 
-    StageServerQueue(GatewayContext context, String pool, TargetRecord server) {
+    StageServer(GatewayContext context, String pool, TargetRecord server, StageServerListener listener) {
         this.context = context;
         this.pool = pool;
         this.server = server;
+        this.listener = listener;
         this.serverState = new StageServerState(context.scheduler());
-        this.waiting = new WaitingPieces(context.scheduler());
         this.callLog = new StageCallLog(context.log(), pool, server.id());
-        this.releaser = new ResultReleaser(context, server, serverState, this::spec, () -> scheduleSend(Duration.ZERO));
+        this.releaser = new ResultReleaser(context, server, serverState, this::spec, listener::serverChanged);
     }
 
     TargetRecord server() {
         return server;
     }
 
-    void add(QueuedPiece piece) {
-        waiting.add(List.of(piece));
-        scheduleSend(Duration.ZERO);
+    /** Returns whether no call is in progress, not even one whose pieces were sent elsewhere. */
+    boolean idle() {
+        return current == null && abandonedCalls == 0;
     }
 
-    /** Cancels a piece that is still queued; a piece in a call ends with the call. */
-    void cancel(DispatchListener listener, long dispatchId) {
-        if (waiting.remove(listener, dispatchId)) {
-            listener.completed(dispatchId, new PieceOutcome(PieceOutcome.Kind.LATE, ""));
-        }
+    /** Returns whether the server can take a call now. */
+    boolean ready() {
+        return current == null && serverState.remainingPauseMillis() <= 0;
     }
 
-    void cancelAll(DispatchListener listener) {
-        waiting.removeAll(listener);
+    /** Returns the time until the server takes calls again after a refusal or a failure, in milliseconds. */
+    double pauseMillis() {
+        return serverState.remainingPauseMillis();
     }
 
-    /** Returns whether no piece is queued and no call is in progress. */
-    boolean idle() {
-        return waiting.isEmpty() && current == null && abandonedCalls == 0;
+    /** Returns the state of the server for the next plan. */
+    StageServerLoad load() {
+        return new StageServerLoad(
+                server.id(),
+                server.zone(),
+                serverState.remainingPauseMillis() + serverState.remainingCallMillis(),
+                serverState.slowdown(),
+                freeBytes());
     }
 
     /**
@@ -95,26 +102,6 @@
         releaser.release(handles, mayBeNeeded);
     }
 
-    /** Returns the time until a piece added now would start, in milliseconds. */
-    double backlogMillis() {
-        return backlogMillis(waiting.size());
-    }
-
-    /** Returns the time until a piece added now would start, in milliseconds, if its request is on time. */
-    double onTimeBacklogMillis() {
-        return backlogMillis(waiting.onTimeCount());
-    }
-
-    private double backlogMillis(int pieces) {
-        Optional<StagePoolSpec> spec = spec();
-        if (spec.isEmpty()) {
-            return 0;
-        }
-        return serverState.remainingPauseMillis()
-                + serverState.remainingCallMillis()
-                + serverState.slowdown() * StageBatching.waitMillis(spec.get(), pieces);
-    }
-
     long freeBytes() {
         return spec().map(spec -> serverState.freeBytes(spec.storageBytes())).orElse(0L);
     }
@@ -125,46 +112,8 @@
                 .map(found -> found.stage());
     }
 
-    private void scheduleSend(Duration delay) {
-        if (!sendScheduled) {
-            sendScheduled = true;
-            context.scheduler().schedule(delay, () -> {
-                sendScheduled = false;
-                sendNext();
-            });
-        }
-    }
-
-    private void sendNext() {
-        Optional<StagePoolSpec> spec = spec();
-        if (spec.isEmpty() || current != null) {
-            return;
-        }
-        returnUnusable();
-        if (waiting.isEmpty()) {
-            return;
-        }
-        double pause = serverState.remainingPauseMillis();
-        if (pause > 0) {
-            scheduleSend(Duration.ofMillis((long) Math.ceil(pause)));
-            return;
-        }
-        List<QueuedPiece> batch =
-                waiting.takeBatch(spec.get(), serverState.freeBytes(spec.get().storageBytes()));
-        if (batch.isEmpty()) {
-            scheduleSend(NO_STORAGE_PAUSE);
-        } else {
-            call(spec.get(), batch);
-        }
-    }
-
-    private void returnUnusable() {
-        boolean usable = context.view().directory().usable(server);
-        List<QueuedPiece> unusable = usable ? waiting.takeExpired() : waiting.takeAll();
-        unusable.forEach(piece -> complete(piece, usable ? PieceOutcome.Kind.LATE : PieceOutcome.Kind.NOT_SENT));
-    }
-
-    private void call(StagePoolSpec spec, List<QueuedPiece> batch) {
+    /** Sends a call with a batch of pieces. The server must be {@link #ready()}. */
+    void call(StagePoolSpec spec, List<QueuedPiece> batch) {
         StageCall call = StageCall.start(context, spec, server, batch, serverState.slowdown(), new CallListener());
         current = call;
         serverState.callStarted(call.resultBytes(), call.expectedMillis());
@@ -175,10 +124,9 @@
                         () -> batch.forEach(piece -> piece.listener().inputsRead(piece.dispatchId())));
     }
 
-    /** Moves the queued pieces to other servers because the call in progress is slow. */
     private void callSlow(StageCall call) {
         serverState.recordLateDuration(call.elapsedMillis() / call.expectedMillis());
-        moveQueued();
+        listener.serverChanged();
     }
 
     /** Moves the pieces of a call to other servers. A late response is still read, since its results occupy storage. */
@@ -188,7 +136,7 @@
         serverState.callEnded();
         callLog.failed(call, problem);
         giveBack(call.pieces());
-        scheduleSend(Duration.ZERO);
+        listener.serverChanged();
     }
 
     private void handleResult(StageCall call, CallResult result) {
@@ -200,7 +148,7 @@
             serverState.callEnded();
             handleTimelyResult(call, result);
         }
-        scheduleSend(Duration.ZERO);
+        listener.serverChanged();
     }
 
     /** Handles the response to an abandoned call: its results are released, since other servers produce them. */
@@ -236,7 +184,9 @@
         serverState.recordDuration(call.elapsedMillis() / call.expectedMillis());
         context.telemetry().stage(pool, call.pieces().size(), (long) (call.elapsedMillis() * NANOS_PER_MILLI));
         callLog.succeeded(
-                call, waiting.size(), serverState.freeBytes(call.spec().storageBytes()));
+                call,
+                listener.waitingPieces(),
+                serverState.freeBytes(call.spec().storageBytes()));
     }
 
     /** Handles the result of a call; returns a description of the problem, or an empty string. */
@@ -265,7 +215,7 @@
         if (full && queueFullResponses < MAX_QUEUE_FULL_RESPONSES) {
             // Another gateway still calls the same server, for a short time; the pieces go back into the queue.
             serverState.pause(QUEUE_FULL_PAUSE);
-            waiting.add(batch);
+            listener.requeue(batch);
         } else {
             queueFullResponses = 0;
             giveBack(batch);
@@ -275,33 +225,26 @@
     }
 
     private void giveBack(List<QueuedPiece> batch) {
-        batch.forEach(piece -> complete(piece, PieceOutcome.Kind.GIVEN_BACK));
+        batch.forEach(piece -> complete(piece, new PieceOutcome(PieceOutcome.Kind.GIVEN_BACK, "")));
     }
 
-    /** Pauses the calls to the server and moves the queued pieces to other servers. */
     private void backOff() {
         serverState.pause(FAILURE_PAUSE);
-        moveQueued();
-    }
-
-    private void moveQueued() {
-        waiting.takeAll().forEach(piece -> complete(piece, PieceOutcome.Kind.NOT_SENT));
     }
 
     private void handleOutcome(StagePoolSpec spec, QueuedPiece piece, PieceOutcome outcome) {
         switch (outcome.kind()) {
             case MADE -> {
                 recordResult(spec, piece, outcome);
-                piece.listener().completed(piece.dispatchId(), outcome);
+                complete(piece, outcome);
             }
             case NO_ROOM -> {
                 // Results that this gateway does not know of occupy storage, at most for their retention time.
                 serverState.recordNoStorage(spec.storageBytes());
                 serverState.pause(NO_STORAGE_PAUSE);
-                waiting.add(List.of(piece));
+                listener.requeue(List.of(piece));
             }
-            case LATE, INPUT_GONE, FAILED, GIVEN_BACK, NOT_SENT ->
-                piece.listener().completed(piece.dispatchId(), outcome);
+            case LATE, INPUT_GONE, FAILED, GIVEN_BACK, NOT_SENT -> complete(piece, outcome);
             default -> throw new IllegalStateException("unknown outcome " + outcome.kind());
         }
     }
@@ -310,8 +253,8 @@
         serverState.addResult(made.handle(), piece.bytes(), Duration.ofMillis(spec.resultLifetimeMillis()));
     }
 
-    private static void complete(QueuedPiece piece, PieceOutcome.Kind kind) {
-        piece.listener().completed(piece.dispatchId(), new PieceOutcome(kind, ""));
+    private void complete(QueuedPiece piece, PieceOutcome outcome) {
+        piece.listener().completed(piece.dispatchId(), outcome, new PieceLocation(server.id(), server.zone()));
     }
 
     /** Handles the events of a call. */
@@ -319,7 +262,7 @@
 
         @Override
         public void slow(StageCall call) {
-            StageServerQueue.this.callSlow(call);
+            StageServer.this.callSlow(call);
         }
 
         @Override
@@ -335,7 +278,7 @@
 
         @Override
         public void ended(StageCall call, CallResult result) {
-            StageServerQueue.this.handleResult(call, result);
+            StageServer.this.handleResult(call, result);
         }
     }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerRegistry.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerRegistry.java
@@ -3,6 +3,7 @@
 import io.masticfold.core.directory.TargetRecord;
 import io.masticfold.core.forward.StagePoolSpec;
 import io.masticfold.core.stage.ServerOwnership;
+import io.masticfold.core.stage.StagePartitions;
 import io.masticfold.core.stage.StageServerView;
 import io.masticfold.gateway.context.GatewayContext;
 import io.masticfold.gateway.peer.PeerLinks;
@@ -25,7 +26,7 @@
     private static final Duration MAX_STATUS_AGE = Duration.ofMillis(1000);
 
     private final GatewayContext context;
-    private final OwnedServerQueues ownedQueues;
+    private final OwnedPoolQueues ownedQueues;
     private final Map<String, StageServerEstimate> estimates = new HashMap<>();
     private final Map<String, PieceLatency> latencies = new HashMap<>();
     private final StageCommitments commitments;
@@ -37,7 +38,7 @@
      *
      * @param ownedQueues queues of the servers that this gateway owns
      */
-    StageServerRegistry(GatewayContext context, OwnedServerQueues ownedQueues) {
+    StageServerRegistry(GatewayContext context, OwnedPoolQueues ownedQueues) {
         this.context = context;
         this.ownedQueues = ownedQueues;
         this.commitments = new StageCommitments(context.scheduler(), MAX_STATUS_AGE);
@@ -118,13 +119,19 @@
         return Duration.ofMillis((long) (shortest + coming));
     }
 
-    /** Returns the gateway that owns a server. */
-    String ownerOf(String server) {
+    /** Returns the partition of a pool to which a server belongs. */
+    int partitionOf(String pool, String server) {
+        return ownedQueues.partitionOf(pool, server);
+    }
+
+    /** Returns the gateway that owns a partition of a pool. */
+    String ownerOf(String pool, int partition) {
+        String key = StagePartitions.key(pool, partition);
         PeerLinks links = peers;
         List<String> reachable = links == null ? List.of() : links.reachable();
         return draining && !reachable.isEmpty()
-                ? ServerOwnership.ownerOf(server, reachable.get(0), reachable)
-                : ServerOwnership.ownerOf(server, context.settings().node(), reachable);
+                ? ServerOwnership.ownerOf(key, reachable.get(0), reachable)
+                : ServerOwnership.ownerOf(key, context.settings().node(), reachable);
     }
 
     /**
@@ -136,15 +143,15 @@
         long now = context.scheduler().nanoTime();
         StageServerEstimate estimate = estimate(target.id());
         boolean failing = estimate.failing(now);
-        String ownerName = ownerOf(target.id());
+        String ownerName = ownerOf(target.pool(), partitionOf(target.pool(), target.id()));
         if (ownerName.equals(context.settings().node())) {
-            Optional<StageServerQueue> queue = ownedQueues.find(target.id());
+            Optional<StagePoolQueue> queue = ownedQueues.find(target.pool(), target.id());
             return new StageServerView(
                     target.id(),
                     target.zone(),
-                    queue.map(found -> onTime ? found.onTimeBacklogMillis() : found.backlogMillis())
+                    queue.map(found -> found.backlogMillis(onTime).getOrDefault(target.id(), 0.0))
                             .orElse(0.0),
-                    queue.map(StageServerQueue::freeBytes).orElseGet(spec::storageBytes),
+                    queue.flatMap(found -> found.freeBytes(target.id())).orElseGet(spec::storageBytes),
                     failing);
         }
         return new StageServerView(
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerState.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerState.java
@@ -29,6 +29,9 @@
 
     private static final double MAX_SLOWDOWN = 20;
 
+    /** Expected rest of an overdue call, as a fraction of the time that it has taken. */
+    private static final double OVERDUE_FRACTION = 0.25;
+
     private static final double NANOS_PER_MILLI = 1e6;
 
     private final TimeSource time;
@@ -55,8 +58,12 @@
     }
 
     double remainingCallMillis() {
+        if (callExpectedMillis == 0) {
+            return 0;
+        }
         double elapsed = (time.nanoTime() - callStartedNanos) / NANOS_PER_MILLI;
-        return callExpectedMillis == 0 ? 0 : Math.max(0, callExpectedMillis * slowdown - elapsed);
+        double remaining = callExpectedMillis * slowdown - elapsed;
+        return remaining > 0 ? remaining : elapsed * OVERDUE_FRACTION;
     }
 
     void callStarted(long bytes, double expectedMillis) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/WaitingPieces.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/WaitingPieces.java
@@ -1,13 +1,13 @@
 package io.masticfold.gateway.stage;
 
 import io.masticfold.core.forward.StagePoolSpec;
-import io.masticfold.core.stage.StageBatching;
+import io.masticfold.core.stage.StageServerSelection;
 import io.masticfold.core.time.TimeSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Predicate;
 
-/** Holds the queued pieces of one stage server and selects those of the next call. Not thread-safe. */
+/** Holds the pieces that wait for the servers of a pool and groups them for the next calls. Not thread-safe. */
 final class WaitingPieces {
 
     private final TimeSource time;
@@ -39,13 +39,6 @@
         return pieces.size();
     }
 
-    /** Returns the number of pieces that can still meet the latency target of their request. */
-    int onTimeCount() {
-        long now = time.nanoTime();
-        return (int)
-                pieces.stream().filter(piece -> piece.dueNanos() - now >= 0).count();
-    }
-
     /** Removes and returns the pieces whose deadline has passed. */
     List<QueuedPiece> takeExpired() {
         return takeMatching(piece -> piece.deadline().expired(time));
@@ -61,22 +54,32 @@
         return taken;
     }
 
+    /** Removes pieces that were put into a call. */
+    void removeAll(List<QueuedPiece> sent) {
+        pieces.removeAll(sent);
+    }
+
     /**
-     * Removes and returns the pieces of the next call.
+     * Returns the groups of pieces that should be processed together, in processing order.
      *
-     * @param freeBytes free result storage of the server, in bytes
+     * @param onTimeOnly whether to leave out pieces that can no longer meet the latency objective of their request
      */
-    List<QueuedPiece> takeBatch(StagePoolSpec spec, long freeBytes) {
+    List<List<QueuedPiece>> groups(StagePoolSpec spec, boolean onTimeOnly) {
+        long now = time.nanoTime();
         List<QueuedPiece> ordered = new ArrayList<>(pieces);
-        ordered.sort(QueuedPiece.processingOrder(time.nanoTime()));
-        int size = StageBatching.batchSize(
-                ordered.stream().map(QueuedPiece::attemptId).toList(),
-                ordered.stream().map(QueuedPiece::bytes).toList(),
-                spec.maxPiecesPerCall(),
-                freeBytes,
-                spec.storageBytes());
-        List<QueuedPiece> batch = List.copyOf(ordered.subList(0, size));
-        pieces.removeAll(batch);
-        return batch;
+        if (onTimeOnly) {
+            ordered.removeIf(piece -> piece.dueNanos() - now < 0);
+        }
+        ordered.sort(QueuedPiece.processingOrder(now));
+        List<List<QueuedPiece>> groups = new ArrayList<>();
+        for (QueuedPiece piece : ordered) {
+            List<QueuedPiece> last = groups.isEmpty() ? List.of() : groups.get(groups.size() - 1);
+            int maxSize = StageServerSelection.maxPiecesPerServer(spec, piece.bytes());
+            if (last.isEmpty() || last.size() >= maxSize || !last.get(0).sameStage(piece)) {
+                groups.add(new ArrayList<>());
+            }
+            groups.get(groups.size() - 1).add(piece);
+        }
+        return groups;
     }
 }
