--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/OwnedPoolQueues.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/OwnedPoolQueues.java
@@ -41,7 +41,11 @@
     }
 
     void cancel(DispatchListener listener, long dispatchId) {
-        queues.values().stream().anyMatch(queue -> queue.cancel(listener, dispatchId));
+        for (StagePoolQueue queue : queues.values()) {
+            if (queue.cancel(listener, dispatchId)) {
+                return;
+            }
+        }
     }
 
     void release(String pool, String server, List<String> handles, boolean mayBeNeeded) {
