Follow a store restored from a copy, and never serve callers that left

Restored store. Cause: a list below the known revision was dropped, so after a restore a gateway listed, watched, got 410, and saw no change until the revisions had grown past the old ones; a gateway started after the restore served the copy's configuration; nobody registered again.

Callers that left. Cause: a slow gateway reads a request together with the close behind it, but sent the request on before it saw the close. Change: the socket is read until it is empty, and a request starts after the pending events of its loop. HttpServerTests: all 20 repetitions failed before. Ruled out: a longer wait before sending, which would delay every request.

--- a/masticfold-core/src/main/java/io/masticfold/core/directory/TargetRecord.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/directory/TargetRecord.java
@@ -35,4 +35,9 @@
     public boolean sameIncarnation(TargetRecord other) {
         return id.equals(other.id) && startMillis == other.startMillis && address.equals(other.address);
     }
+
+    /** Returns this record with the state draining. */
+    TargetRecord asDraining() {
+        return new TargetRecord(id, pool, address, zone, true, coldRemainingMillis, slots, startMillis);
+    }
 }
--- a/masticfold-core/src/main/java/io/masticfold/core/directory/TargetTable.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/directory/TargetTable.java
@@ -12,7 +12,9 @@
 /**
  * Holds the targets registered in the service directory. Registrations expire while the directory is unavailable, since
  * the targets cannot renew them. A target whose registration is missing right after such an outage is therefore kept
- * for a grace period, in which live targets register again. Not safe for use by several threads.
+ * for a grace period, in which live targets register again. A directory that was restored from a copy is treated in the
+ * same way, and what the copy says of targets that were draining or gone before is ignored. Not safe for use by several
+ * threads.
  */
 public final class TargetTable {
 
@@ -22,7 +24,11 @@
     /** Time after an outage within which live targets register again. */
     static final Duration REREGISTRATION_GRACE = Duration.ofMillis(2500);
 
+    /** Time for which removed targets are remembered; longer than the age of a copy from which a store is restored. */
+    static final Duration REMOVAL_MEMORY = Duration.ofSeconds(60);
+
     private final TimeSource time;
+    private final Map<String, Removal> removals = new HashMap<>();
     private final Map<String, TargetRecord> targets = new HashMap<>();
     private final Map<String, Long> graceEnds = new HashMap<>();
     private Set<String> disabledZones = Set.of();
@@ -63,10 +69,28 @@
         Set.copyOf(targets.keySet()).stream().filter(id -> !listed.contains(id)).forEach(this::remove);
     }
 
-    /** Adds or updates a target. */
+    /**
+     * Replaces all targets by the list of a directory that was restored from a copy. Targets that the copy lacks are kept
+     * for the grace period; targets that were removed before stay removed until they register again.
+     */
+    public void replaceAllRestored(Collection<TargetRecord> records) {
+        recovered = true;
+        outageEndNanos = time.nanoTime();
+        replaceAll(records.stream().filter(record -> !removedBefore(record)).toList());
+    }
+
+    private boolean removedBefore(TargetRecord record) {
+        Removal removal = removals.get(record.id());
+        return removal != null && removal.target().sameIncarnation(record);
+    }
+
+    /** Adds or updates a target. A target that is draining keeps draining: only its next incarnation is usable. */
     public void put(TargetRecord record) {
-        targets.put(record.id(), record);
+        TargetRecord known = targets.get(record.id());
+        boolean draining = known != null && known.draining() && known.sameIncarnation(record);
+        targets.put(record.id(), draining ? record.asDraining() : record);
         graceEnds.remove(record.id());
+        removals.remove(record.id());
     }
 
     /** Removes a target, or schedules its removal if an outage has just ended. */
@@ -74,11 +98,18 @@
         if (inGracePeriod() && targets.containsKey(id)) {
             graceEnds.putIfAbsent(id, outageEndNanos + REREGISTRATION_GRACE.toNanos());
         } else {
-            targets.remove(id);
+            removeNow(id);
             graceEnds.remove(id);
         }
     }
 
+    private void removeNow(String id) {
+        TargetRecord removed = targets.remove(id);
+        if (removed != null) {
+            removals.put(id, new Removal(removed, time.nanoTime()));
+        }
+    }
+
     /** Sets the availability zones that operators have taken out of service. */
     public void setDisabledZones(Set<String> zones) {
         disabledZones = Set.copyOf(zones);
@@ -86,12 +117,14 @@
 
     /** Removes targets whose grace period has ended; returns whether any was removed. */
     public boolean expire() {
+        long oldest = time.nanoTime() - REMOVAL_MEMORY.toNanos();
+        removals.values().removeIf(removal -> removal.nanos() - oldest < 0);
         boolean removed = false;
         for (Iterator<Map.Entry<String, Long>> entries = graceEnds.entrySet().iterator(); entries.hasNext(); ) {
             Map.Entry<String, Long> entry = entries.next();
             if (time.nanoTime() - entry.getValue() >= 0) {
                 entries.remove();
-                targets.remove(entry.getKey());
+                removeNow(entry.getKey());
                 removed = true;
             }
         }
@@ -106,4 +139,7 @@
     private boolean inGracePeriod() {
         return recovered && time.nanoTime() - outageEndNanos < REREGISTRATION_GRACE.toNanos();
     }
+
+    /** Holds a removed target and the time of its removal. */
+    private record Removal(TargetRecord target, long nanos) {}
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -84,6 +84,7 @@
     private final HttpServer metrics;
     private volatile boolean stopping;
     private boolean readyLogged;
+    private boolean registering;
 
     /**
      * Creates a gateway.
@@ -99,7 +100,8 @@
         this.client = new HttpClient(group, time);
         this.log = new RateLimitedLog(time, telemetry);
         this.store = new ObjectStoreClient(client, scheduler, settings.store());
-        this.platformWatcher = new PlatformWatcher(store, protocol.store(), scheduler, view, log);
+        this.platformWatcher =
+                new PlatformWatcher(store, protocol.store(), scheduler, view, log, settings.node(), this::register);
         GatewayContext context = new GatewayContext(this.settings, protocol, client, scheduler, view, log, telemetry);
         this.peerStateExchange = new PeerStateExchange(platformWatcher, scheduler, log);
         this.stageDispatcher = new StageDispatcher(context, _name -> retryBudget());
@@ -190,7 +192,12 @@
         scheduler.schedule(IDLE_CHECK_INTERVAL, this::closeExpiredConnections);
     }
 
+    /** Writes this gateway's own entry to the store. An entry that exists stays as it is. */
     private void register() {
+        if (registering || stopping) {
+            return;
+        }
+        registering = true;
         GatewayAddress address = new GatewayAddress(
                 settings.get().node(), settings.get().zone(), settings.get().peer());
         store.create(
@@ -200,6 +207,7 @@
                 result -> {
                     boolean exists = result instanceof CallResult.Answered answered
                             && (answered.status() < 300 || answered.status() == CONFLICT);
+                    registering = false;
                     if (!exists) {
                         scheduler.schedule(REGISTER_RETRY_DELAY, this::register);
                     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/PeerDispatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/PeerDispatcher.java
@@ -22,6 +22,9 @@
         if (frame.hasKnowledge()) {
             peerStateExchange.handleResponse(peer, frame.getKnowledge());
         } else {
+            if (frame.hasStatus()) {
+                peerStateExchange.handleStatus(peer, frame.getStatus());
+            }
             stageDispatcher.handleResponse(peer, frame);
         }
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/CallerConnection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/CallerConnection.java
@@ -177,7 +177,18 @@
         }
         waiting.add(new CallerRequest(request.method(), request.uri(), request.headers(), bytes, headNanos));
         checkKeepAlive(request);
-        startNext();
+        scheduleNext();
+    }
+
+    /**
+     * Starts the next request after the events that are pending on the event loop. A caller that gave up while its
+     * request waited in the socket has closed the connection by then.
+     */
+    private void scheduleNext() {
+        ChannelHandlerContext channelContext = context;
+        if (current == null && channelContext != null) {
+            channelContext.executor().execute(this::startNext);
+        }
     }
 
     private void checkKeepAlive(HttpRequest request) {
@@ -188,7 +199,9 @@
 
     private void startNext() {
         ChannelHandlerContext channelContext = context;
-        if (current != null || channelContext == null) {
+        if (current != null
+                || channelContext == null
+                || !channelContext.channel().isActive()) {
             return;
         }
         CallerRequest next = waiting.poll();
@@ -207,6 +220,10 @@
     }
 
     private void refuse(BadRequestReason reason) {
+        // A request read before is answered first.
+        if (!waiting.isEmpty()) {
+            startNext();
+        }
         server.refused(reason);
         closing = true;
         cancelTimer();
@@ -298,8 +315,7 @@
             closing = true;
             channelContext.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
         } else {
-            // Not called directly: a handler that responds at once would recurse for each pipelined request.
-            channelContext.executor().execute(this::startNext);
+            scheduleNext();
         }
     }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpServer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpServer.java
@@ -3,6 +3,7 @@
 import io.masticfold.core.forward.RequestLimits;
 import io.masticfold.core.time.TimeSource;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -23,6 +24,9 @@
     /** Maximum number of connections that wait to be accepted. */
     private static final int BACKLOG = 1024;
 
+    /** Maximum number of reads from one connection before the others have their turn. */
+    private static final int MAX_READS = 16;
+
     private final EventLoopGroup group;
     private final TimeSource time;
     private final RequestLimitsSource limits;
@@ -66,6 +70,12 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                // Reads until nothing is left, so that the end of a connection is seen together with its last request.
+                .childOption(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator()
+                                .respectMaybeMoreData(false)
+                                .maxMessagesPerRead(MAX_READS))
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel accepted) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
@@ -37,7 +37,8 @@
     STAGE_PIECE_FAILED(6032, Level.INFO, "a piece of stage work failed"),
     PEER_STATE_REJECTED(6033, Level.ERROR, "state received from a peer cannot be decoded"),
     TASK_FAILED(6034, Level.ERROR, "a task of the event loop failed because of an internal error"),
-    CONNECTION_FAILED(6035, Level.ERROR, "a caller's connection failed because of an internal error");
+    CONNECTION_FAILED(6035, Level.ERROR, "a caller's connection failed because of an internal error"),
+    STORE_RESTORED(6036, Level.WARN, "the object store was restored from a copy; what it lacks is kept for a while");
 
     private final EventDefinition definition;
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/KnownKind.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/KnownKind.java
@@ -116,6 +116,21 @@
     return objects_.get(index);
   }
 
+  public static final int ERA_FIELD_NUMBER = 4;
+  private long era_ = 0L;
+  /**
+   * <pre>
+   * Era of the store in which the revision was read.
+   * </pre>
+   *
+   * <code>uint64 era = 4;</code>
+   * @return The era.
+   */
+  @java.lang.Override
+  public long getEra() {
+    return era_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -139,6 +154,9 @@
     for (int i = 0; i < objects_.size(); i++) {
       output.writeMessage(3, objects_.get(i));
     }
+    if (era_ != 0L) {
+      output.writeUInt64(4, era_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -160,6 +178,10 @@
           }
           size += 1 * count;
         }
+    if (era_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(4, era_);
+    }
     return size;
   }
   @java.lang.Override
@@ -190,6 +212,8 @@
         != other.getRevision()) return false;
     if (!getObjectsList()
         .equals(other.getObjectsList())) return false;
+    if (getEra()
+        != other.getEra()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -210,6 +234,9 @@
       hash = (37 * hash) + OBJECTS_FIELD_NUMBER;
       hash = (53 * hash) + getObjectsList().hashCode();
     }
+    hash = (37 * hash) + ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEra());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -350,6 +377,7 @@
         objectsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000004);
+      era_ = 0L;
       return this;
     }
 
@@ -402,6 +430,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.revision_ = revision_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.era_ = era_;
+      }
     }
 
     @java.lang.Override
@@ -448,6 +479,9 @@
           }
         }
       }
+      if (other.getEra() != 0L) {
+        setEra(other.getEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -495,6 +529,11 @@
               }
               break;
             } // case 26
+            case 32: {
+              era_ = input.readUInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -822,6 +861,50 @@
       return objectsBuilder_;
     }
 
+    private long era_ ;
+    /**
+     * <pre>
+     * Era of the store in which the revision was read.
+     * </pre>
+     *
+     * <code>uint64 era = 4;</code>
+     * @return The era.
+     */
+    @java.lang.Override
+    public long getEra() {
+      return era_;
+    }
+    /**
+     * <pre>
+     * Era of the store in which the revision was read.
+     * </pre>
+     *
+     * <code>uint64 era = 4;</code>
+     * @param value The era to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEra(long value) {
+
+      era_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Era of the store in which the revision was read.
+     * </pre>
+     *
+     * <code>uint64 era = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEra() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      era_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:masticfold.gateway.KnownKind)
   }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/KnownKindOrBuilder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/KnownKindOrBuilder.java
@@ -49,4 +49,14 @@
    */
   io.masticfold.gateway.peer.proto.KnownObjectOrBuilder getObjectsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Era of the store in which the revision was read.
+   * </pre>
+   *
+   * <code>uint64 era = 4;</code>
+   * @return The era.
+   */
+  long getEra();
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/KnownRevision.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/KnownRevision.java
@@ -74,6 +74,21 @@
     return revision_;
   }
 
+  public static final int ERA_FIELD_NUMBER = 3;
+  private long era_ = 0L;
+  /**
+   * <pre>
+   * Era of the store in which the revision was read.
+   * </pre>
+   *
+   * <code>uint64 era = 3;</code>
+   * @return The era.
+   */
+  @java.lang.Override
+  public long getEra() {
+    return era_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -94,6 +109,9 @@
     if (revision_ != 0L) {
       output.writeUInt64(2, revision_);
     }
+    if (era_ != 0L) {
+      output.writeUInt64(3, era_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -106,6 +124,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(2, revision_);
     }
+    if (era_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(3, era_);
+    }
     return size;
   }
   @java.lang.Override
@@ -134,6 +156,8 @@
         != other.getKind()) return false;
     if (getRevision()
         != other.getRevision()) return false;
+    if (getEra()
+        != other.getEra()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -150,6 +174,9 @@
     hash = (37 * hash) + REVISION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getRevision());
+    hash = (37 * hash) + ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEra());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -283,6 +310,7 @@
       bitField0_ = 0;
       kind_ = 0;
       revision_ = 0L;
+      era_ = 0L;
       return this;
     }
 
@@ -322,6 +350,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.revision_ = revision_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.era_ = era_;
+      }
     }
 
     @java.lang.Override
@@ -342,6 +373,9 @@
       if (other.getRevision() != 0L) {
         setRevision(other.getRevision());
       }
+      if (other.getEra() != 0L) {
+        setEra(other.getEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -376,6 +410,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 24: {
+              era_ = input.readUInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -469,6 +508,50 @@
       return this;
     }
 
+    private long era_ ;
+    /**
+     * <pre>
+     * Era of the store in which the revision was read.
+     * </pre>
+     *
+     * <code>uint64 era = 3;</code>
+     * @return The era.
+     */
+    @java.lang.Override
+    public long getEra() {
+      return era_;
+    }
+    /**
+     * <pre>
+     * Era of the store in which the revision was read.
+     * </pre>
+     *
+     * <code>uint64 era = 3;</code>
+     * @param value The era to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEra(long value) {
+
+      era_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Era of the store in which the revision was read.
+     * </pre>
+     *
+     * <code>uint64 era = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEra() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      era_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:masticfold.gateway.KnownRevision)
   }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/KnownRevisionOrBuilder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/KnownRevisionOrBuilder.java
@@ -25,4 +25,14 @@
    * @return The revision.
    */
   long getRevision();
+
+  /**
+   * <pre>
+   * Era of the store in which the revision was read.
+   * </pre>
+   *
+   * <code>uint64 era = 3;</code>
+   * @return The era.
+   */
+  long getEra();
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/Peer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/Peer.java
@@ -151,24 +151,25 @@
       "ceCancel\022\014\n\004pool\030\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\016" +
       "\n\006orders\030\003 \003(\004\"N\n\rResultRelease\022\014\n\004pool\030" +
       "\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\017\n\007handles\030\003 \003(\t\022\016" +
-      "\n\006needed\030\004 \001(\010\"\213\001\n\nPeerStatus\0222\n\007servers" +
+      "\n\006needed\030\004 \001(\010\"\252\001\n\nPeerStatus\0222\n\007servers" +
       "\030\001 \003(\0132!.masticfold.gateway.ServerBacklo" +
       "g\022\020\n\010draining\030\002 \001(\010\0227\n\013commitments\030\003 \003(\013" +
-      "2\".masticfold.gateway.PoolCommitment\".\n\016" +
-      "PoolCommitment\022\014\n\004pool\030\001 \001(\t\022\016\n\006pieces\030\002" +
-      " \001(\r\"k\n\rServerBacklog\022\016\n\006server\030\001 \001(\t\022\026\n" +
-      "\016backlog_millis\030\002 \001(\r\022\022\n\nroom_bytes\030\003 \001(" +
-      "\004\022\036\n\026on_time_backlog_millis\030\004 \001(\r\"H\n\020Kno" +
-      "wledgeRequest\0224\n\trevisions\030\001 \003(\0132!.masti" +
-      "cfold.gateway.KnownRevision\"/\n\rKnownRevi" +
-      "sion\022\014\n\004kind\030\001 \001(\r\022\020\n\010revision\030\002 \001(\004\"9\n\t" +
-      "Knowledge\022,\n\005kinds\030\001 \003(\0132\035.masticfold.ga" +
-      "teway.KnownKind\"]\n\tKnownKind\022\014\n\004kind\030\001 \001" +
-      "(\r\022\020\n\010revision\030\002 \001(\004\0220\n\007objects\030\003 \003(\0132\037." +
-      "masticfold.gateway.KnownObject\">\n\013KnownO" +
-      "bject\022\014\n\004name\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\017\n" +
-      "\007content\030\003 \001(\014B&\n io.masticfold.gateway." +
-      "peer.protoH\001P\001b\006proto3"
+      "2\".masticfold.gateway.PoolCommitment\022\035\n\025" +
+      "configuration_version\030\004 \001(\004\".\n\016PoolCommi" +
+      "tment\022\014\n\004pool\030\001 \001(\t\022\016\n\006pieces\030\002 \001(\r\"k\n\rS" +
+      "erverBacklog\022\016\n\006server\030\001 \001(\t\022\026\n\016backlog_" +
+      "millis\030\002 \001(\r\022\022\n\nroom_bytes\030\003 \001(\004\022\036\n\026on_t" +
+      "ime_backlog_millis\030\004 \001(\r\"H\n\020KnowledgeReq" +
+      "uest\0224\n\trevisions\030\001 \003(\0132!.masticfold.gat" +
+      "eway.KnownRevision\"<\n\rKnownRevision\022\014\n\004k" +
+      "ind\030\001 \001(\r\022\020\n\010revision\030\002 \001(\004\022\013\n\003era\030\003 \001(\004" +
+      "\"9\n\tKnowledge\022,\n\005kinds\030\001 \003(\0132\035.masticfol" +
+      "d.gateway.KnownKind\"j\n\tKnownKind\022\014\n\004kind" +
+      "\030\001 \001(\r\022\020\n\010revision\030\002 \001(\004\0220\n\007objects\030\003 \003(" +
+      "\0132\037.masticfold.gateway.KnownObject\022\013\n\003er" +
+      "a\030\004 \001(\004\">\n\013KnownObject\022\014\n\004name\030\001 \001(\t\022\020\n\010" +
+      "revision\030\002 \001(\004\022\017\n\007content\030\003 \001(\014B&\n io.ma" +
+      "sticfold.gateway.peer.protoH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -233,7 +234,7 @@
     internal_static_masticfold_gateway_PeerStatus_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_PeerStatus_descriptor,
-        new java.lang.String[] { "Servers", "Draining", "Commitments", });
+        new java.lang.String[] { "Servers", "Draining", "Commitments", "ConfigurationVersion", });
     internal_static_masticfold_gateway_PoolCommitment_descriptor =
       getDescriptor().getMessageType(10);
     internal_static_masticfold_gateway_PoolCommitment_fieldAccessorTable = new
@@ -257,7 +258,7 @@
     internal_static_masticfold_gateway_KnownRevision_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_KnownRevision_descriptor,
-        new java.lang.String[] { "Kind", "Revision", });
+        new java.lang.String[] { "Kind", "Revision", "Era", });
     internal_static_masticfold_gateway_Knowledge_descriptor =
       getDescriptor().getMessageType(14);
     internal_static_masticfold_gateway_Knowledge_fieldAccessorTable = new
@@ -269,7 +270,7 @@
     internal_static_masticfold_gateway_KnownKind_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_KnownKind_descriptor,
-        new java.lang.String[] { "Kind", "Revision", "Objects", });
+        new java.lang.String[] { "Kind", "Revision", "Objects", "Era", });
     internal_static_masticfold_gateway_KnownObject_descriptor =
       getDescriptor().getMessageType(16);
     internal_static_masticfold_gateway_KnownObject_fieldAccessorTable = new
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerStatus.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerStatus.java
@@ -151,6 +151,21 @@
     return commitments_.get(index);
   }
 
+  public static final int CONFIGURATION_VERSION_FIELD_NUMBER = 4;
+  private long configurationVersion_ = 0L;
+  /**
+   * <pre>
+   * Version in effect at the sender; 0 if it has none.
+   * </pre>
+   *
+   * <code>uint64 configuration_version = 4;</code>
+   * @return The configurationVersion.
+   */
+  @java.lang.Override
+  public long getConfigurationVersion() {
+    return configurationVersion_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -174,6 +189,9 @@
     for (int i = 0; i < commitments_.size(); i++) {
       output.writeMessage(3, commitments_.get(i));
     }
+    if (configurationVersion_ != 0L) {
+      output.writeUInt64(4, configurationVersion_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -200,6 +218,10 @@
           }
           size += 1 * count;
         }
+    if (configurationVersion_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(4, configurationVersion_);
+    }
     return size;
   }
   @java.lang.Override
@@ -230,6 +252,8 @@
         != other.getDraining()) return false;
     if (!getCommitmentsList()
         .equals(other.getCommitmentsList())) return false;
+    if (getConfigurationVersion()
+        != other.getConfigurationVersion()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -252,6 +276,9 @@
       hash = (37 * hash) + COMMITMENTS_FIELD_NUMBER;
       hash = (53 * hash) + getCommitmentsList().hashCode();
     }
+    hash = (37 * hash) + CONFIGURATION_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getConfigurationVersion());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -402,6 +429,7 @@
         commitmentsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000004);
+      configurationVersion_ = 0L;
       return this;
     }
 
@@ -460,6 +488,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.draining_ = draining_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.configurationVersion_ = configurationVersion_;
+      }
     }
 
     @java.lang.Override
@@ -529,6 +560,9 @@
           }
         }
       }
+      if (other.getConfigurationVersion() != 0L) {
+        setConfigurationVersion(other.getConfigurationVersion());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -584,6 +618,11 @@
               }
               break;
             } // case 26
+            case 32: {
+              configurationVersion_ = input.readUInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1113,6 +1152,50 @@
       return commitmentsBuilder_;
     }
 
+    private long configurationVersion_ ;
+    /**
+     * <pre>
+     * Version in effect at the sender; 0 if it has none.
+     * </pre>
+     *
+     * <code>uint64 configuration_version = 4;</code>
+     * @return The configurationVersion.
+     */
+    @java.lang.Override
+    public long getConfigurationVersion() {
+      return configurationVersion_;
+    }
+    /**
+     * <pre>
+     * Version in effect at the sender; 0 if it has none.
+     * </pre>
+     *
+     * <code>uint64 configuration_version = 4;</code>
+     * @param value The configurationVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfigurationVersion(long value) {
+
+      configurationVersion_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version in effect at the sender; 0 if it has none.
+     * </pre>
+     *
+     * <code>uint64 configuration_version = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfigurationVersion() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      configurationVersion_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:masticfold.gateway.PeerStatus)
   }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerStatusOrBuilder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerStatusOrBuilder.java
@@ -67,4 +67,14 @@
    */
   io.masticfold.gateway.peer.proto.PoolCommitmentOrBuilder getCommitmentsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Version in effect at the sender; 0 if it has none.
+   * </pre>
+   *
+   * <code>uint64 configuration_version = 4;</code>
+   * @return The configurationVersion.
+   */
+  long getConfigurationVersion();
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StoreDialect.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StoreDialect.java
@@ -3,6 +3,7 @@
 import io.masticfold.core.directory.TargetRecord;
 import io.masticfold.core.error.MasticfoldException;
 import io.masticfold.core.forward.ForwardConfig;
+import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
@@ -47,6 +48,9 @@
      */
     StorePage decodeChanges(byte[] body) throws MasticfoldException;
 
+    /** Decodes the era of the store from the headers of a response; 0 if the store does not report it. */
+    long decodeEra(HttpHeaders headers);
+
     /** Returns the name of the object that holds the current configuration. */
     String configurationName();
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageDispatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageDispatcher.java
@@ -65,6 +65,8 @@
 
     private PeerFrame status() {
         PeerStatus.Builder status = ownedQueues.status().setDraining(draining);
+        Optional.ofNullable(context.view().config())
+                .ifPresent(config -> status.setConfigurationVersion(config.version()));
         servers.commitments().addTo(status);
         return PeerFrame.newBuilder().setStatus(status).build();
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/KindListener.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/KindListener.java
@@ -10,8 +10,9 @@
      * Called with the complete list of objects.
      *
      * @param revision store revision of the list
+     * @param restored whether the store was restored from a copy since the last list
      */
-    void listed(List<StoreObject> objects, long revision);
+    void listed(List<StoreObject> objects, long revision, boolean restored);
 
     /**
      * Called with changed and deleted objects, in the order of the changes.
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/KindWatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/KindWatcher.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway.store;
 
+import io.masticfold.core.directory.StorePosition;
 import io.masticfold.core.error.MasticfoldException;
 import io.masticfold.core.time.Scheduler;
 import io.masticfold.gateway.http.CallResult;
@@ -13,7 +14,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /** Lists the objects of one kind and then watches their changes until the gateway exits. Not thread-safe. */
@@ -42,8 +42,8 @@
     private List<StoreObject> pages = new ArrayList<>();
     private Duration retryDelay = MIN_RETRY_DELAY;
     private final Map<String, StoreObject> objects = new HashMap<>();
-    private long listRevision;
-    private long knownRevision;
+    private StorePosition listPosition = StorePosition.NONE;
+    private StorePosition known = StorePosition.NONE;
     private boolean failing;
 
     /**
@@ -75,9 +75,9 @@
         return kind;
     }
 
-    /** Returns the revision up to which every change is known; 0 before the first list. */
-    long knownRevision() {
-        return knownRevision;
+    /** Returns the position up to which every change is known; {@link StorePosition#NONE} before the first list. */
+    StorePosition known() {
+        return known;
     }
 
     /**
@@ -85,11 +85,11 @@
      *
      * @return whether the list was newer
      */
-    boolean replaceIfNewer(List<StoreObject> listed, long revision) {
-        if (revision <= knownRevision) {
+    boolean replaceIfNewer(List<StoreObject> listed, StorePosition position) {
+        if (!position.isAfter(known)) {
             return false;
         }
-        replaceAll(listed, revision);
+        replaceAll(listed, position);
         return true;
     }
 
@@ -106,11 +106,12 @@
         return failing;
     }
 
-    private void replaceAll(List<StoreObject> listed, long revision) {
-        knownRevision = revision;
+    private void replaceAll(List<StoreObject> listed, StorePosition position) {
+        boolean restored = position.restoredSince(known);
+        known = position;
         objects.clear();
         listed.forEach(object -> objects.put(object.name(), object));
-        listener.listed(listed, revision);
+        listener.listed(listed, position.revision(), restored);
     }
 
     private void list(@Nullable String after) {
@@ -124,17 +125,21 @@
         handleResult(
                 result,
                 dialect::decodePage,
-                page -> {
+                (page, era) -> {
                     if (pages.isEmpty()) {
-                        listRevision = page.revision();
+                        listPosition = new StorePosition(era, page.revision());
+                    } else if (era != listPosition.era()) {
+                        // The pages would be of different states.
+                        list(null);
+                        return;
                     }
                     pages.addAll(page.objects());
                     if (page.more() && !page.objects().isEmpty()) {
                         list(page.objects().get(page.objects().size() - 1).name());
                     } else {
                         // The watch starts at the revision of the first page and returns changes made while paging.
-                        if (listRevision >= knownRevision) {
-                            replaceAll(List.copyOf(pages), listRevision);
+                        if (!known.isAfter(listPosition)) {
+                            replaceAll(List.copyOf(pages), listPosition);
                         }
                         scheduleWatch();
                     }
@@ -147,8 +152,10 @@
     }
 
     private void watch() {
-        long revision = knownRevision;
-        store.read(dialect.watchUri(kind, revision, WATCH_WAIT), WATCH_WAIT.plus(RESPONSE_TIMEOUT), this::handleWatch);
+        store.read(
+                dialect.watchUri(kind, known.revision(), WATCH_WAIT),
+                WATCH_WAIT.plus(RESPONSE_TIMEOUT),
+                this::handleWatch);
     }
 
     private void handleWatch(CallResult result) {
@@ -160,10 +167,16 @@
         handleResult(
                 result,
                 dialect::decodeChanges,
-                page -> {
+                (page, era) -> {
+                    if (era > known.era()) {
+                        // The revision of the watch names another state in the new era.
+                        list(null);
+                        return;
+                    }
+                    StorePosition position = new StorePosition(era, page.revision());
                     // A peer may have supplied a newer list while the watch was open.
-                    if (page.revision() > knownRevision) {
-                        knownRevision = page.revision();
+                    if (position.isAfter(known)) {
+                        known = position;
                         if (!page.objects().isEmpty()) {
                             page.objects().forEach(this::put);
                             listener.changed(page.objects(), page.revision());
@@ -182,7 +195,7 @@
         }
     }
 
-    private void handleResult(CallResult result, Decoder decoder, Consumer<StorePage> onPage, Runnable retry) {
+    private void handleResult(CallResult result, Decoder decoder, PageHandler onPage, Runnable retry) {
         String problem;
         if (result instanceof CallResult.Answered answered) {
             if (answered.status() == HttpResponseStatus.OK.code()) {
@@ -191,7 +204,7 @@
                     retryDelay = MIN_RETRY_DELAY;
                     failing = false;
                     listener.callSucceeded();
-                    onPage.accept(page);
+                    onPage.handle(page, dialect.decodeEra(answered.headers()));
                     return;
                 } catch (MasticfoldException e) {
                     problem = "malformed response: " + e.getMessage();
@@ -213,4 +226,9 @@
     private interface Decoder {
         StorePage decode(byte[] body) throws MasticfoldException;
     }
+
+    /** Handles a page of the era of the store in which it was read. */
+    private interface PageHandler {
+        void handle(StorePage page, long era);
+    }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatcher.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway.store;
 
+import io.masticfold.core.directory.DisabledZones;
 import io.masticfold.core.directory.TargetRecord;
 import io.masticfold.core.directory.TargetTable;
 import io.masticfold.core.error.MasticfoldException;
@@ -16,8 +17,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeSet;
+import org.jspecify.annotations.Nullable;
 
 /** Updates the {@link PlatformView} from the object store. Not thread-safe. */
 public final class PlatformWatcher {
@@ -40,20 +41,37 @@
     private final RateLimitedLog log;
     private final TargetTable table;
     private final Map<String, GatewayAddress> gateways = new HashMap<>();
-    private final Set<String> zonesOut = new TreeSet<>();
+    private final DisabledZones zonesOut;
     private final List<KindWatcher> watchers;
+    private final String node;
+    private final Runnable onUnlisted;
     private boolean storeUnreachable;
     private boolean targetsListed;
     private boolean zonesListed;
-
-    /** Creates the watchers of all kinds. */
+    private @Nullable StoreObject activeConfiguration;
+
+    /**
+     * Creates the watchers of all kinds.
+     *
+     * @param node name of this gateway
+     * @param onUnlisted called when the store does not list this gateway, so that it has to register
+     */
     public PlatformWatcher(
-            ObjectStoreClient store, StoreDialect dialect, Scheduler scheduler, PlatformView view, RateLimitedLog log) {
+            ObjectStoreClient store,
+            StoreDialect dialect,
+            Scheduler scheduler,
+            PlatformView view,
+            RateLimitedLog log,
+            String node,
+            Runnable onUnlisted) {
+        this.node = node;
+        this.onUnlisted = onUnlisted;
         this.dialect = dialect;
         this.scheduler = scheduler;
         this.view = view;
         this.log = log;
         this.table = new TargetTable(scheduler);
+        this.zonesOut = new DisabledZones(scheduler);
         this.watchers = List.of(
                 new KindWatcher(
                         store,
@@ -95,6 +113,9 @@
     }
 
     private void expire() {
+        if (zonesOut.expire()) {
+            publishZones();
+        }
         if (table.expire()) {
             publish();
         }
@@ -105,6 +126,58 @@
         view.replaceTargets(table.snapshot());
     }
 
+    private void publishZones() {
+        table.setDisabledZones(zonesOut.zones());
+        publish();
+        log.important(GatewayEvent.ZONES_OUT_CHANGED)
+                .addKeyValue("zones", String.join(",", new TreeSet<>(zonesOut.zones())))
+                .log();
+    }
+
+    /** Returns the object of the active configuration; empty before one was read. */
+    List<StoreObject> activeConfiguration() {
+        return Optional.ofNullable(activeConfiguration).stream().toList();
+    }
+
+    /** Returns the version of the active configuration; 0 before one was read. */
+    long configurationVersion() {
+        return Optional.ofNullable(view.config()).map(ForwardConfig::version).orElse(0L);
+    }
+
+    /** Activates a configuration that a peer has supplied, if it is newer than the active one. */
+    void offerConfiguration(List<StoreObject> objects) {
+        objects.stream()
+                .filter(object -> object.name().equals(dialect.configurationName()) && !object.deleted())
+                .forEach(this::activate);
+    }
+
+    private void activate(StoreObject object) {
+        try {
+            ForwardConfig config = dialect.decodeConfiguration(object);
+            if (view.activateIfNewer(config)) {
+                activeConfiguration = object;
+                log.important(GatewayEvent.CONFIGURATION_IN_FORCE)
+                        .addKeyValue("version", config.version())
+                        .addKeyValue("revision", object.revision())
+                        .log();
+            }
+        } catch (MasticfoldException e) {
+            log.important(GatewayEvent.CONFIGURATION_REJECTED)
+                    .addKeyValue("revision", object.revision())
+                    .addKeyValue("problem", e.getMessage())
+                    .log();
+        }
+    }
+
+    private void logIfRestored(StoreKind kind, long revision, boolean restored) {
+        if (restored) {
+            log.important(GatewayEvent.STORE_RESTORED)
+                    .addKeyValue("kind", kind)
+                    .addKeyValue("revision", revision)
+                    .log();
+        }
+    }
+
     private void storeFailed(String detail) {
         table.directoryFailed();
         if (!storeUnreachable) {
@@ -147,32 +220,14 @@
         }
 
         @Override
-        public void listed(List<StoreObject> objects, long revision) {
+        public void listed(List<StoreObject> objects, long revision, boolean restored) {
+            logIfRestored(StoreKind.CONFIGURATION, revision, restored);
             changed(objects, revision);
         }
 
         @Override
         public void changed(List<StoreObject> objects, long _revision) {
-            objects.stream()
-                    .filter(object -> object.name().equals(dialect.configurationName()) && !object.deleted())
-                    .forEach(this::apply);
-        }
-
-        private void apply(StoreObject object) {
-            try {
-                ForwardConfig config = dialect.decodeConfiguration(object);
-                if (view.activateIfNewer(config)) {
-                    log.important(GatewayEvent.CONFIGURATION_IN_FORCE)
-                            .addKeyValue("version", config.version())
-                            .addKeyValue("revision", object.revision())
-                            .log();
-                }
-            } catch (MasticfoldException e) {
-                log.important(GatewayEvent.CONFIGURATION_REJECTED)
-                        .addKeyValue("revision", object.revision())
-                        .addKeyValue("problem", e.getMessage())
-                        .log();
-            }
+            offerConfiguration(objects);
         }
     }
 
@@ -180,9 +235,15 @@
     private final class TargetListener extends AbstractKindListener {
 
         @Override
-        public void listed(List<StoreObject> objects, long _revision) {
-            table.replaceAll(
-                    objects.stream().map(this::decode).flatMap(Optional::stream).toList());
+        public void listed(List<StoreObject> objects, long revision, boolean restored) {
+            logIfRestored(StoreKind.TARGETS, revision, restored);
+            List<TargetRecord> targets =
+                    objects.stream().map(this::decode).flatMap(Optional::stream).toList();
+            if (restored) {
+                table.replaceAllRestored(targets);
+            } else {
+                table.replaceAll(targets);
+            }
             targetsListed = true;
             publish();
         }
@@ -239,14 +300,15 @@
     private final class ZoneListener extends AbstractKindListener {
 
         @Override
-        public void listed(List<StoreObject> objects, long revision) {
-            zonesOut.clear();
+        public void listed(List<StoreObject> objects, long revision, boolean restored) {
+            logIfRestored(StoreKind.ZONES_OUT, revision, restored);
+            zonesOut.replaceAll(objects.stream().map(StoreObject::name).toList(), restored);
             zonesListed = true;
-            changed(objects, revision);
+            publishZones();
         }
 
         @Override
-        public void changed(List<StoreObject> objects, long revision) {
+        public void changed(List<StoreObject> objects, long _revision) {
             for (StoreObject object : objects) {
                 if (object.deleted()) {
                     zonesOut.remove(object.name());
@@ -254,12 +316,7 @@
                     zonesOut.add(object.name());
                 }
             }
-            table.setDisabledZones(zonesOut);
-            publish();
-            log.important(GatewayEvent.ZONES_OUT_CHANGED)
-                    .addKeyValue("zones", String.join(",", zonesOut))
-                    .addKeyValue("revision", revision)
-                    .log();
+            publishZones();
         }
     }
 
@@ -267,7 +324,8 @@
     private final class GatewayListener extends AbstractKindListener {
 
         @Override
-        public void listed(List<StoreObject> objects, long revision) {
+        public void listed(List<StoreObject> objects, long revision, boolean restored) {
+            logIfRestored(StoreKind.GATEWAYS, revision, restored);
             gateways.clear();
             changed(objects, revision);
         }
@@ -283,6 +341,9 @@
                 }
             }
             view.replaceGateways(List.copyOf(gateways.values()));
+            if (!gateways.containsKey(node)) {
+                onUnlisted.run();
+            }
         }
     }
 }
--- /dev/null
+++ b/masticfold-gateway/src/test/java/io/masticfold/gateway/http/HttpServerTests.java
@@ -0,0 +1,109 @@
+package io.masticfold.gateway.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.masticfold.core.forward.RequestLimits;
+import io.masticfold.core.time.TimeSource;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.RepeatedTest;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests that are served although their caller has left, and responses out of order. */
+final class HttpServerTests {
+
+    private static final String REQUEST = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final List<String> served = new ArrayList<>();
+    private InetSocketAddress address;
+
+    @BeforeEach
+    void start() throws IOException, InterruptedException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            address = new InetSocketAddress(free.getInetAddress(), free.getLocalPort());
+        }
+        new HttpServer(group, TimeSource.system(), () -> RequestLimits.DEFAULT, this::serve, _reason -> {})
+                .start(address);
+    }
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
+    private CallerListener serve(CallerRequest request, CallerResponse response) {
+        synchronized (served) {
+            served.add(request.path());
+        }
+        response.send(
+                200,
+                DefaultHttpHeadersFactory.headersFactory().newHeaders(),
+                Unpooled.copiedBuffer("ok", StandardCharsets.US_ASCII));
+        return CallerListener.NONE;
+    }
+
+    /** A gateway that was paused finds the requests of callers that have given up in its sockets. */
+    @RepeatedTest(20)
+    void requestOfACallerThatLeftIsNotServed() throws IOException, InterruptedException {
+        CountDownLatch paused = new CountDownLatch(1);
+        CountDownLatch resumed = new CountDownLatch(1);
+        try (Socket kept = new Socket(address.getAddress(), address.getPort())) {
+            kept.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+            assertThat(kept.getInputStream().read()).isEqualTo('H');
+            group.execute(() -> {
+                paused.countDown();
+                awaitQuietly(resumed);
+            });
+            paused.await();
+            kept.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+        }
+        try (Socket fresh = new Socket(address.getAddress(), address.getPort())) {
+            fresh.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+        }
+        Thread.sleep(5);
+        resumed.countDown();
+        try (Socket last = new Socket(address.getAddress(), address.getPort())) {
+            last.getOutputStream().write(REQUEST.replace("/x", "/last").getBytes(StandardCharsets.US_ASCII));
+            assertThat(last.getInputStream().read()).isEqualTo('H');
+        }
+        synchronized (served) {
+            assertThat(served).containsExactly("/x", "/last");
+        }
+    }
+
+    /** A malformed request behind a valid one in the same packet must not be answered first. */
+    @Test
+    void requestReadBeforeAMalformedOneIsAnsweredFirst() throws IOException {
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            socket.getOutputStream()
+                    .write((REQUEST + "GET /y HTTP/1.1\r\nContent-Length: z\r\n\r\n")
+                            .getBytes(StandardCharsets.US_ASCII));
+            String answers = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertThat(answers).startsWith("HTTP/1.1 200 ").contains("okHTTP/1.1 400 ");
+        }
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
