Make stage work due before the callers of streams lose patience

A request is refused once its stages cannot end within it, a piece expires once the stages after it cannot, and the Retry-After of these refusals is the drain of the queue. Ruled out: a shorter waiting part, which refuses requests that can be served.

--- a/masticfold-core/src/main/java/io/masticfold/core/directory/TargetTable.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/directory/TargetTable.java
@@ -70,8 +70,8 @@
     }
 
     /**
-     * Replaces all targets by the list of a directory that was restored from a copy. Targets that the copy lacks are kept
-     * for the grace period; targets that were removed before stay removed until they register again.
+     * Replaces all targets by the list of a directory that was restored from a copy. Targets that the copy lacks are
+     * kept for the grace period; targets that were removed before stay removed until they register again.
      */
     public void replaceAllRestored(Collection<TargetRecord> records) {
         recovered = true;
--- a/masticfold-core/src/main/java/io/masticfold/core/forward/ForwardRoute.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/forward/ForwardRoute.java
@@ -12,6 +12,8 @@
  * @param kind whether requests may be repeated and answers are streamed
  * @param timeout longest time until the complete answer
  * @param latencyObjective latency objective for the answer, or for the first event of a stream
+ * @param eventPatience longest time that a caller waits for the first or the next event of a stream; the timeout for
+ *     routes without streams
  * @param priority priority of the route; 0 is the highest
  * @param maxAttempts largest number of targets that may run one request
  * @param pools pools that serve the route, with their weights
@@ -26,6 +28,7 @@
         RequestKind kind,
         Duration timeout,
         Duration latencyObjective,
+        Duration eventPatience,
         int priority,
         int maxAttempts,
         List<PoolShare> pools,
@@ -35,6 +38,10 @@
 
     /** Copies the lists and validates the values. */
     public ForwardRoute {
+        if (eventPatience.isNegative() || eventPatience.isZero()) {
+            throw new IllegalArgumentException(
+                    "eventPatience of route " + name + " must be positive: " + eventPatience);
+        }
         pools = List.copyOf(pools);
         stages = List.copyOf(stages);
         if (!pathPrefix.startsWith("/") || !pathPrefix.endsWith("/")) {
@@ -55,6 +62,16 @@
         }
     }
 
+    /**
+     * Returns the time within which the answer, or the first event of a stream, must be sent.
+     *
+     * @param callerWindow time for which the caller waits for the complete answer
+     */
+    public Duration firstAnswerWindow(Duration callerWindow) {
+        Duration complete = callerWindow.compareTo(timeout) < 0 ? callerWindow : timeout;
+        return complete.compareTo(eventPatience) < 0 ? complete : eventPatience;
+    }
+
     /**
      * Chooses the pool of a request at random, in proportion to the weights.
      *
--- a/masticfold-core/src/test/java/io/masticfold/core/forward/ForwardConfigTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/forward/ForwardConfigTests.java
@@ -33,6 +33,7 @@
                 RequestKind.SAFE,
                 Duration.ofSeconds(1),
                 Duration.ofMillis(100),
+                Duration.ofSeconds(1),
                 0,
                 2,
                 pools,
@@ -77,6 +78,28 @@
                 .hasMessageContaining(prefix);
     }
 
+    /** A caller of a stream leaves when no event has arrived for some time, long before its deadline. */
+    @ParameterizedTest
+    @CsvSource({"20000, 20000, 7200, 7200", "5000, 20000, 7200, 5000", "20000, 6000, 7200, 6000"})
+    void theFirstAnswerIsDueBeforeTheCallerLosesPatience(long caller, long timeout, long patience, long window) {
+        ForwardRoute route = new ForwardRoute(
+                "r",
+                "h",
+                "/",
+                RequestKind.STREAM,
+                Duration.ofMillis(timeout),
+                Duration.ofMillis(1800),
+                Duration.ofMillis(patience),
+                0,
+                1,
+                List.of(new PoolShare("one", 1)),
+                List.of(),
+                false,
+                true);
+
+        assertThat(route.firstAnswerWindow(Duration.ofMillis(caller))).isEqualTo(Duration.ofMillis(window));
+    }
+
     @Test
     void aStageThatDependsOnItselfIsRejected() {
         assertThatThrownBy(() -> new ForwardRoute(
@@ -86,6 +109,7 @@
                         RequestKind.STREAM,
                         Duration.ofSeconds(1),
                         Duration.ofSeconds(1),
+                        Duration.ofSeconds(1),
                         0,
                         1,
                         List.of(new PoolShare("one", 1)),
--- a/masticfold-core/src/test/java/io/masticfold/core/forward/ResendPolicyTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/forward/ResendPolicyTests.java
@@ -20,7 +20,19 @@
 
     private static ForwardRoute route(RequestKind kind, int attempts) {
         return new ForwardRoute(
-                "r", "h", "/", kind, LONG, LONG, 0, attempts, List.of(new PoolShare("p", 1)), List.of(), false, false);
+                "r",
+                "h",
+                "/",
+                kind,
+                LONG,
+                LONG,
+                LONG,
+                0,
+                attempts,
+                List.of(new PoolShare("p", 1)),
+                List.of(),
+                false,
+                false);
     }
 
     @ParameterizedTest
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
@@ -137,6 +137,9 @@
                 route.cacheAffinity() ? promptKey(metadata) : PromptPrefix.UNKNOWN,
                 new Deadline(request.receivedNanos()
                         + Duration.ofMillis(windowMillis).toNanos()),
+                new Deadline(request.receivedNanos()
+                        + route.firstAnswerWindow(Duration.ofMillis(windowMillis))
+                                .toNanos()),
                 config.version());
     }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestStages.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestStages.java
@@ -49,6 +49,7 @@
                                 .latencyObjective()
                                 .minus(TIME_TO_FIRST_TOKEN)
                                 .toNanos(),
+                routed.firstAnswerDeadline(),
                 routed.deadline(),
                 expectedTargetZone(),
                 listener);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RoutedRequest.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RoutedRequest.java
@@ -17,6 +17,7 @@
  * @param priority priority among all requests; 0 is the most urgent
  * @param prompt shared prefix of its prompt, for cache affinity
  * @param deadline time by which the response must be complete
+ * @param firstAnswerDeadline time by which the response must have begun
  * @param configVersion version of the configuration used for routing
  */
 record RoutedRequest(
@@ -28,4 +29,5 @@
         int priority,
         PromptPrefix prompt,
         Deadline deadline,
+        Deadline firstAnswerDeadline,
         long configVersion) {}
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageAdmissionQueue.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageAdmissionQueue.java
@@ -35,12 +35,11 @@
         CriticalPathEstimate path = run.criticalPath();
         switch (decide(run, path, now)) {
             case START -> run.start(path.expected());
-            case REFUSE -> refuseAsync(run, Duration.ZERO);
+            case REFUSE -> refuseAsync(run, retryAfter(run, path, now));
             case WAIT -> {
-                Duration longestWait = longestWait(run, now);
                 Duration left = run.deadline().remaining(context.scheduler());
-                if (StageAdmission.exceedsMaxWait(longestWait, path, left)) {
-                    refuseAsync(run, StageAdmission.retryAfter(longestWait, path, left));
+                if (StageAdmission.exceedsMaxWait(longestWait(run, now), path, left)) {
+                    refuseAsync(run, retryAfter(run, path, now));
                 } else {
                     waiting.add(run);
                     scheduleCheck();
@@ -66,6 +65,11 @@
         return StageAdmission.decide(path, run.timeToDue(now), run.deadline().remaining(context.scheduler()));
     }
 
+    private Duration retryAfter(StageRun run, CriticalPathEstimate path, long now) {
+        Duration callerLeft = run.callerDeadline().remaining(context.scheduler());
+        return StageAdmission.retryAfter(longestWait(run, now), path, callerLeft);
+    }
+
     private Duration longestWait(StageRun run, long now) {
         long longest = waiting.stream()
                 .filter(other -> other.rank() <= run.rank())
@@ -99,7 +103,7 @@
             StageAdmission.Verdict verdict = decide(run, path, now);
             if (verdict == StageAdmission.Verdict.REFUSE) {
                 waiting.remove(run);
-                run.refuse(StageRefusal.TOO_LATE, Duration.ZERO);
+                run.refuse(StageRefusal.TOO_LATE, retryAfter(run, path, now));
             } else if (verdict == StageAdmission.Verdict.START && started < MAX_STARTS_PER_CHECK) {
                 started++;
                 waiting.remove(run);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageForecast.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageForecast.java
@@ -79,4 +79,17 @@
         }
         return longest;
     }
+
+    /** Returns the duration of a stage and of the longest chain of stages after it in idle pools, in nanoseconds. */
+    long unloadedNanos(int stage) {
+        long longest = 0;
+        for (int next = 0; next < stages.size(); next++) {
+            if (graph.pieces(next) > 0 && stages.get(next).inputStages().contains(stage)) {
+                longest = Math.max(longest, unloadedNanos(next));
+            }
+        }
+        return longest
+                + servers.callTime(stages.get(stage).pool(), graph.pieces(stage))
+                        .toNanos();
+    }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageRun.java
@@ -24,6 +24,7 @@
     private final long startedNanos;
     private final long dueNanos;
     private final Deadline deadline;
+    private final Deadline callerDeadline;
     private final @Nullable String readerZone;
     private final StageRunListener listener;
     private final StageGraph graph;
@@ -46,6 +47,7 @@
      * @param startedNanos monotonic time at which the request was received
      * @param dueNanos monotonic time by which the stages must be complete for the request to meet its latency target
      * @param deadline time after which the results are not needed
+     * @param callerDeadline time until which the caller may try again if the run is refused
      * @param readerZone availability zone in which the request is expected to run; null if unknown
      */
     public StageRun(
@@ -58,6 +60,7 @@
             long startedNanos,
             long dueNanos,
             Deadline deadline,
+            Deadline callerDeadline,
             @Nullable String readerZone,
             StageRunListener listener) {
         this.dispatcher = dispatcher;
@@ -68,6 +71,7 @@
         this.startedNanos = startedNanos;
         this.dueNanos = dueNanos;
         this.deadline = deadline;
+        this.callerDeadline = callerDeadline;
         this.readerZone = readerZone;
         this.listener = listener;
         this.graph = new StageGraph(stages, pieces);
@@ -142,6 +146,10 @@
         return deadline;
     }
 
+    Deadline callerDeadline() {
+        return callerDeadline;
+    }
+
     /** Returns the estimates for the critical path of the stages. */
     CriticalPathEstimate criticalPath() {
         return forecast.criticalPath();
@@ -212,7 +220,7 @@
                 rank,
                 startedNanos,
                 dueNanos - forecast.downstreamNanos(stage),
-                deadline,
+                new Deadline(deadline.expiryNanos() - forecast.unloadedNanos(stage)),
                 new PieceHandler(stage, piece));
     }
 
