Share the reads of the list of gateways among them

Change: SharedReadSchedule: one gateway reads and tells the others a digest of what it has read in its status; a follower reads when that read is older than a watch can wait, or when the digest shows a change.

--- a/masticfold-core/src/test/java/io/masticfold/core/stage/StagePartitionsTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/stage/StagePartitionsTests.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** Guards against one gateway that schedules more servers than it can, and servers that change their owner needlessly. */
+/** Guards against a gateway that schedules too many servers, and servers that change their owner needlessly. */
 final class StagePartitionsTests {
 
     @ParameterizedTest
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -112,7 +112,7 @@
                 settings.node(),
                 view::gateways,
                 settings.seeds(),
-                new PeerDispatcher(stageDispatcher, peerStateExchange));
+                new PeerDispatcher(stageDispatcher, peerStateExchange, platformWatcher));
         this.forwardHandler = new ForwardHandler(
                 context, stageDispatcher, admissionQueue, new TargetPools(context, _name -> retryBudget()));
         this.front = new HttpServer(group, time, this::limits, forwardHandler, reason -> {
@@ -176,7 +176,8 @@
         EventLoop loop = group.next();
         loop.execute(() -> {
             platformWatcher.start();
-            stageDispatcher.start(peers);
+            stageDispatcher.start(peers, platformWatcher::addTo);
+            platformWatcher.shareReads(peers::reachable);
             peerStateExchange.start(peers);
             register();
             closeExpiredConnections();
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/PeerDispatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/PeerDispatcher.java
@@ -5,16 +5,20 @@
 import io.masticfold.gateway.peer.proto.PeerFrame;
 import io.masticfold.gateway.stage.StageDispatcher;
 import io.masticfold.gateway.store.PeerStateExchange;
+import io.masticfold.gateway.store.PlatformWatcher;
 
-/** Dispatches peer frames to stage scheduling or to the exchange of store objects. */
+/** Dispatches peer frames to stage scheduling, to the exchange of store objects and to the sharing of reads. */
 final class PeerDispatcher implements PeerListener {
 
     private final StageDispatcher stageDispatcher;
     private final PeerStateExchange peerStateExchange;
+    private final PlatformWatcher platformWatcher;
 
-    PeerDispatcher(StageDispatcher stageDispatcher, PeerStateExchange peerStateExchange) {
+    PeerDispatcher(
+            StageDispatcher stageDispatcher, PeerStateExchange peerStateExchange, PlatformWatcher platformWatcher) {
         this.stageDispatcher = stageDispatcher;
         this.peerStateExchange = peerStateExchange;
+        this.platformWatcher = platformWatcher;
     }
 
     @Override
@@ -24,6 +28,7 @@
         } else {
             if (frame.hasStatus()) {
                 peerStateExchange.handleStatus(peer, frame.getStatus());
+                platformWatcher.handleStatus(peer, frame.getStatus());
             }
             stageDispatcher.handleResponse(peer, frame);
         }
@@ -32,6 +37,7 @@
     @Override
     public void connectionLost(String peer) {
         stageDispatcher.peerDisconnected(peer);
+        platformWatcher.peerDisconnected(peer);
     }
 
     @Override
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/Peer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/Peer.java
@@ -76,6 +76,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_masticfold_gateway_PeerStatus_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_masticfold_gateway_KindRead_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_masticfold_gateway_KindRead_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_masticfold_gateway_PoolCommitment_descriptor;
   static final 
@@ -151,11 +156,14 @@
       "ceCancel\022\014\n\004pool\030\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\016" +
       "\n\006orders\030\003 \003(\004\"N\n\rResultRelease\022\014\n\004pool\030" +
       "\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\017\n\007handles\030\003 \003(\t\022\016" +
-      "\n\006needed\030\004 \001(\010\"\252\001\n\nPeerStatus\0222\n\007servers" +
+      "\n\006needed\030\004 \001(\010\"\327\001\n\nPeerStatus\0222\n\007servers" +
       "\030\001 \003(\0132!.masticfold.gateway.ServerBacklo" +
       "g\022\020\n\010draining\030\002 \001(\010\0227\n\013commitments\030\003 \003(\013" +
       "2\".masticfold.gateway.PoolCommitment\022\035\n\025" +
-      "configuration_version\030\004 \001(\004\".\n\016PoolCommi" +
+      "configuration_version\030\004 \001(\004\022+\n\005reads\030\005 \003" +
+      "(\0132\034.masticfold.gateway.KindRead\"I\n\010Kind" +
+      "Read\022\014\n\004kind\030\001 \001(\r\022\013\n\003era\030\002 \001(\004\022\016\n\006diges" +
+      "t\030\003 \001(\006\022\022\n\nage_millis\030\004 \001(\r\".\n\016PoolCommi" +
       "tment\022\014\n\004pool\030\001 \001(\t\022\016\n\006pieces\030\002 \001(\r\"k\n\rS" +
       "erverBacklog\022\016\n\006server\030\001 \001(\t\022\026\n\016backlog_" +
       "millis\030\002 \001(\r\022\022\n\nroom_bytes\030\003 \001(\004\022\036\n\026on_t" +
@@ -234,45 +242,51 @@
     internal_static_masticfold_gateway_PeerStatus_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_PeerStatus_descriptor,
-        new java.lang.String[] { "Servers", "Draining", "Commitments", "ConfigurationVersion", });
-    internal_static_masticfold_gateway_PoolCommitment_descriptor =
+        new java.lang.String[] { "Servers", "Draining", "Commitments", "ConfigurationVersion", "Reads", });
+    internal_static_masticfold_gateway_KindRead_descriptor =
       getDescriptor().getMessageType(10);
+    internal_static_masticfold_gateway_KindRead_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_masticfold_gateway_KindRead_descriptor,
+        new java.lang.String[] { "Kind", "Era", "Digest", "AgeMillis", });
+    internal_static_masticfold_gateway_PoolCommitment_descriptor =
+      getDescriptor().getMessageType(11);
     internal_static_masticfold_gateway_PoolCommitment_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_PoolCommitment_descriptor,
         new java.lang.String[] { "Pool", "Pieces", });
     internal_static_masticfold_gateway_ServerBacklog_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_masticfold_gateway_ServerBacklog_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_ServerBacklog_descriptor,
         new java.lang.String[] { "Server", "BacklogMillis", "RoomBytes", "OnTimeBacklogMillis", });
     internal_static_masticfold_gateway_KnowledgeRequest_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_masticfold_gateway_KnowledgeRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_KnowledgeRequest_descriptor,
         new java.lang.String[] { "Revisions", });
     internal_static_masticfold_gateway_KnownRevision_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_masticfold_gateway_KnownRevision_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_KnownRevision_descriptor,
         new java.lang.String[] { "Kind", "Revision", "Era", });
     internal_static_masticfold_gateway_Knowledge_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_masticfold_gateway_Knowledge_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_Knowledge_descriptor,
         new java.lang.String[] { "Kinds", });
     internal_static_masticfold_gateway_KnownKind_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_masticfold_gateway_KnownKind_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_KnownKind_descriptor,
         new java.lang.String[] { "Kind", "Revision", "Objects", "Era", });
     internal_static_masticfold_gateway_KnownObject_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_masticfold_gateway_KnownObject_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_KnownObject_descriptor,
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerStatus.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerStatus.java
@@ -34,6 +34,7 @@
   private PeerStatus() {
     servers_ = java.util.Collections.emptyList();
     commitments_ = java.util.Collections.emptyList();
+    reads_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -166,6 +167,47 @@
     return configurationVersion_;
   }
 
+  public static final int READS_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private java.util.List<io.masticfold.gateway.peer.proto.KindRead> reads_;
+  /**
+   * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.masticfold.gateway.peer.proto.KindRead> getReadsList() {
+    return reads_;
+  }
+  /**
+   * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.masticfold.gateway.peer.proto.KindReadOrBuilder> 
+      getReadsOrBuilderList() {
+    return reads_;
+  }
+  /**
+   * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+   */
+  @java.lang.Override
+  public int getReadsCount() {
+    return reads_.size();
+  }
+  /**
+   * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+   */
+  @java.lang.Override
+  public io.masticfold.gateway.peer.proto.KindRead getReads(int index) {
+    return reads_.get(index);
+  }
+  /**
+   * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+   */
+  @java.lang.Override
+  public io.masticfold.gateway.peer.proto.KindReadOrBuilder getReadsOrBuilder(
+      int index) {
+    return reads_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -192,6 +234,9 @@
     if (configurationVersion_ != 0L) {
       output.writeUInt64(4, configurationVersion_);
     }
+    for (int i = 0; i < reads_.size(); i++) {
+      output.writeMessage(5, reads_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -222,6 +267,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(4, configurationVersion_);
     }
+
+        {
+          final int count = reads_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(reads_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -254,6 +308,8 @@
         .equals(other.getCommitmentsList())) return false;
     if (getConfigurationVersion()
         != other.getConfigurationVersion()) return false;
+    if (!getReadsList()
+        .equals(other.getReadsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -279,6 +335,10 @@
     hash = (37 * hash) + CONFIGURATION_VERSION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getConfigurationVersion());
+    if (getReadsCount() > 0) {
+      hash = (37 * hash) + READS_FIELD_NUMBER;
+      hash = (53 * hash) + getReadsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -430,6 +490,13 @@
       }
       bitField0_ = (bitField0_ & ~0x00000004);
       configurationVersion_ = 0L;
+      if (readsBuilder_ == null) {
+        reads_ = java.util.Collections.emptyList();
+      } else {
+        reads_ = null;
+        readsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000010);
       return this;
     }
 
@@ -481,6 +548,15 @@
       } else {
         result.commitments_ = commitmentsBuilder_.build();
       }
+      if (readsBuilder_ == null) {
+        if (((bitField0_ & 0x00000010) != 0)) {
+          reads_ = java.util.Collections.unmodifiableList(reads_);
+          bitField0_ = (bitField0_ & ~0x00000010);
+        }
+        result.reads_ = reads_;
+      } else {
+        result.reads_ = readsBuilder_.build();
+      }
     }
 
     private void buildPartial0(io.masticfold.gateway.peer.proto.PeerStatus result) {
@@ -563,6 +639,32 @@
       if (other.getConfigurationVersion() != 0L) {
         setConfigurationVersion(other.getConfigurationVersion());
       }
+      if (readsBuilder_ == null) {
+        if (!other.reads_.isEmpty()) {
+          if (reads_.isEmpty()) {
+            reads_ = other.reads_;
+            bitField0_ = (bitField0_ & ~0x00000010);
+          } else {
+            ensureReadsIsMutable();
+            reads_.addAll(other.reads_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.reads_.isEmpty()) {
+          if (readsBuilder_.isEmpty()) {
+            readsBuilder_.dispose();
+            readsBuilder_ = null;
+            reads_ = other.reads_;
+            bitField0_ = (bitField0_ & ~0x00000010);
+            readsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetReadsFieldBuilder() : null;
+          } else {
+            readsBuilder_.addAllMessages(other.reads_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -623,6 +725,19 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 42: {
+              io.masticfold.gateway.peer.proto.KindRead m =
+                  input.readMessage(
+                      io.masticfold.gateway.peer.proto.KindRead.parser(),
+                      extensionRegistry);
+              if (readsBuilder_ == null) {
+                ensureReadsIsMutable();
+                reads_.add(m);
+              } else {
+                readsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1196,6 +1311,240 @@
       return this;
     }
 
+    private java.util.List<io.masticfold.gateway.peer.proto.KindRead> reads_ =
+      java.util.Collections.emptyList();
+    private void ensureReadsIsMutable() {
+      if (!((bitField0_ & 0x00000010) != 0)) {
+        reads_ = new java.util.ArrayList<io.masticfold.gateway.peer.proto.KindRead>(reads_);
+        bitField0_ |= 0x00000010;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.masticfold.gateway.peer.proto.KindRead, io.masticfold.gateway.peer.proto.KindRead.Builder, io.masticfold.gateway.peer.proto.KindReadOrBuilder> readsBuilder_;
+
+    /**
+     * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+     */
+    public java.util.List<io.masticfold.gateway.peer.proto.KindRead> getReadsList() {
+      if (readsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(reads_);
+      } else {
+        return readsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+     */
+    public int getReadsCount() {
+      if (readsBuilder_ == null) {
+        return reads_.size();
+      } else {
+        return readsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+     */
+    public io.masticfold.gateway.peer.proto.KindRead getReads(int index) {
+      if (readsBuilder_ == null) {
+        return reads_.get(index);
+      } else {
+        return readsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+     */
+    public Builder setReads(
+        int index, io.masticfold.gateway.peer.proto.KindRead value) {
+      if (readsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureReadsIsMutable();
+        reads_.set(index, value);
+        onChanged();
+      } else {
+        readsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+     */
+    public Builder setReads(
+        int index, io.masticfold.gateway.peer.proto.KindRead.Builder builderForValue) {
+      if (readsBuilder_ == null) {
+        ensureReadsIsMutable();
+        reads_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        readsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+     */
+    public Builder addReads(io.masticfold.gateway.peer.proto.KindRead value) {
+      if (readsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureReadsIsMutable();
+        reads_.add(value);
+        onChanged();
+      } else {
+        readsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+     */
+    public Builder addReads(
+        int index, io.masticfold.gateway.peer.proto.KindRead value) {
+      if (readsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureReadsIsMutable();
+        reads_.add(index, value);
+        onChanged();
+      } else {
+        readsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+     */
+    public Builder addReads(
+        io.masticfold.gateway.peer.proto.KindRead.Builder builderForValue) {
+      if (readsBuilder_ == null) {
+        ensureReadsIsMutable();
+        reads_.add(builderForValue.build());
+        onChanged();
+      } else {
+        readsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+     */
+    public Builder addReads(
+        int index, io.masticfold.gateway.peer.proto.KindRead.Builder builderForValue) {
+      if (readsBuilder_ == null) {
+        ensureReadsIsMutable();
+        reads_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        readsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+     */
+    public Builder addAllReads(
+        java.lang.Iterable<? extends io.masticfold.gateway.peer.proto.KindRead> values) {
+      if (readsBuilder_ == null) {
+        ensureReadsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, reads_);
+        onChanged();
+      } else {
+        readsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+     */
+    public Builder clearReads() {
+      if (readsBuilder_ == null) {
+        reads_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000010);
+        onChanged();
+      } else {
+        readsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+     */
+    public Builder removeReads(int index) {
+      if (readsBuilder_ == null) {
+        ensureReadsIsMutable();
+        reads_.remove(index);
+        onChanged();
+      } else {
+        readsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+     */
+    public io.masticfold.gateway.peer.proto.KindRead.Builder getReadsBuilder(
+        int index) {
+      return internalGetReadsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+     */
+    public io.masticfold.gateway.peer.proto.KindReadOrBuilder getReadsOrBuilder(
+        int index) {
+      if (readsBuilder_ == null) {
+        return reads_.get(index);  } else {
+        return readsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+     */
+    public java.util.List<? extends io.masticfold.gateway.peer.proto.KindReadOrBuilder> 
+         getReadsOrBuilderList() {
+      if (readsBuilder_ != null) {
+        return readsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(reads_);
+      }
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+     */
+    public io.masticfold.gateway.peer.proto.KindRead.Builder addReadsBuilder() {
+      return internalGetReadsFieldBuilder().addBuilder(
+          io.masticfold.gateway.peer.proto.KindRead.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+     */
+    public io.masticfold.gateway.peer.proto.KindRead.Builder addReadsBuilder(
+        int index) {
+      return internalGetReadsFieldBuilder().addBuilder(
+          index, io.masticfold.gateway.peer.proto.KindRead.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+     */
+    public java.util.List<io.masticfold.gateway.peer.proto.KindRead.Builder> 
+         getReadsBuilderList() {
+      return internalGetReadsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.masticfold.gateway.peer.proto.KindRead, io.masticfold.gateway.peer.proto.KindRead.Builder, io.masticfold.gateway.peer.proto.KindReadOrBuilder> 
+        internalGetReadsFieldBuilder() {
+      if (readsBuilder_ == null) {
+        readsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.masticfold.gateway.peer.proto.KindRead, io.masticfold.gateway.peer.proto.KindRead.Builder, io.masticfold.gateway.peer.proto.KindReadOrBuilder>(
+                reads_,
+                ((bitField0_ & 0x00000010) != 0),
+                getParentForChildren(),
+                isClean());
+        reads_ = null;
+      }
+      return readsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:masticfold.gateway.PeerStatus)
   }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerStatusOrBuilder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerStatusOrBuilder.java
@@ -77,4 +77,28 @@
    * @return The configurationVersion.
    */
   long getConfigurationVersion();
+
+  /**
+   * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+   */
+  java.util.List<io.masticfold.gateway.peer.proto.KindRead> 
+      getReadsList();
+  /**
+   * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+   */
+  io.masticfold.gateway.peer.proto.KindRead getReads(int index);
+  /**
+   * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+   */
+  int getReadsCount();
+  /**
+   * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+   */
+  java.util.List<? extends io.masticfold.gateway.peer.proto.KindReadOrBuilder> 
+      getReadsOrBuilderList();
+  /**
+   * <code>repeated .masticfold.gateway.KindRead reads = 5;</code>
+   */
+  io.masticfold.gateway.peer.proto.KindReadOrBuilder getReadsOrBuilder(
+      int index);
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageDispatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageDispatcher.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
@@ -33,6 +34,7 @@
     private final StageServerRegistry servers;
     private final Map<Long, PieceDispatch> dispatches = new HashMap<>();
     private @Nullable PeerLinks peers;
+    private Consumer<PeerStatus.Builder> statusExtension = _status -> {};
     private long lastDispatchId;
     private boolean draining;
 
@@ -48,9 +50,14 @@
         this.servers = new StageServerRegistry(context, ownedQueues);
     }
 
-    /** Sets the connections to the peers and starts the periodic broadcast of this gateway's status. */
-    public void start(PeerLinks links) {
+    /**
+     * Sets the connections to the peers and starts the periodic broadcast of this gateway's status.
+     *
+     * @param extension adds to the status what other parts of the gateway tell the peers
+     */
+    public void start(PeerLinks links, Consumer<PeerStatus.Builder> extension) {
         peers = links;
+        statusExtension = extension;
         servers.start(links);
         broadcastStatus();
     }
@@ -65,8 +72,7 @@
 
     private PeerFrame status() {
         PeerStatus.Builder status = ownedQueues.status().setDraining(draining);
-        Optional.ofNullable(context.view().config())
-                .ifPresent(config -> status.setConfigurationVersion(config.version()));
+        statusExtension.accept(status);
         servers.commitments().addTo(status);
         return PeerFrame.newBuilder().setStatus(status).build();
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/KindWatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/KindWatcher.java
@@ -2,6 +2,7 @@
 
 import io.masticfold.core.directory.StorePosition;
 import io.masticfold.core.error.MasticfoldException;
+import io.masticfold.core.time.Cancellable;
 import io.masticfold.core.time.Scheduler;
 import io.masticfold.gateway.http.CallResult;
 import io.masticfold.gateway.protocol.StoreDialect;
@@ -39,17 +40,20 @@
     private final StoreKind kind;
     private final Duration pause;
     private final KindListener listener;
+    private final @Nullable SharedReads sharedReads;
     private List<StoreObject> pages = new ArrayList<>();
     private Duration retryDelay = MIN_RETRY_DELAY;
     private final Map<String, StoreObject> objects = new HashMap<>();
     private StorePosition listPosition = StorePosition.NONE;
     private StorePosition known = StorePosition.NONE;
     private boolean failing;
+    private @Nullable Cancellable nextWatch;
 
     /**
      * Creates a watcher.
      *
      * @param pause time between two watches; the next watch returns the changes made in between
+     * @param sharedReads decides which gateway reads the kind; null if every gateway does
      */
     KindWatcher(
             ObjectStoreClient store,
@@ -57,13 +61,15 @@
             Scheduler scheduler,
             StoreKind kind,
             Duration pause,
-            KindListener listener) {
+            KindListener listener,
+            @Nullable SharedReads sharedReads) {
         this.store = store;
         this.dialect = dialect;
         this.scheduler = scheduler;
         this.kind = kind;
         this.pause = pause;
         this.listener = listener;
+        this.sharedReads = sharedReads;
     }
 
     void start() {
@@ -111,10 +117,14 @@
         known = position;
         objects.clear();
         listed.forEach(object -> objects.put(object.name(), object));
+        if (sharedReads != null) {
+            sharedReads.replaceAll(listed);
+        }
         listener.listed(listed, position.revision(), restored);
     }
 
     private void list(@Nullable String after) {
+        nextWatch = null;
         if (after == null) {
             pages = new ArrayList<>();
         }
@@ -148,10 +158,31 @@
     }
 
     private void scheduleWatch() {
-        scheduler.schedule(pause, this::watch);
+        nextWatch = scheduler.schedule(pause, this::watchIfDue);
+    }
+
+    private void watchIfDue() {
+        Duration delay = sharedReads == null ? Duration.ZERO : sharedReads.delay(known.era());
+        if (!delay.isZero()) {
+            nextWatch = scheduler.schedule(delay, this::watchIfDue);
+        } else if (sharedReads != null && sharedReads.listInsteadOfWatch()) {
+            list(null);
+        } else {
+            watch();
+        }
+    }
+
+    /** Reads at once if a peer has read a change, unless a call is in progress or the last one has just ended. */
+    void peerHasRead() {
+        if (sharedReads != null && nextWatch != null && sharedReads.changeKnownToPeer(known.era())) {
+            nextWatch.cancel();
+            nextWatch = null;
+            watchIfDue();
+        }
     }
 
     private void watch() {
+        nextWatch = null;
         store.read(
                 dialect.watchUri(kind, known.revision(), WATCH_WAIT),
                 WATCH_WAIT.plus(RESPONSE_TIMEOUT),
@@ -188,6 +219,9 @@
     }
 
     private void put(StoreObject object) {
+        if (sharedReads != null) {
+            sharedReads.put(object);
+        }
         if (object.deleted()) {
             objects.remove(object.name());
         } else {
@@ -203,6 +237,9 @@
                     StorePage page = decoder.decode(answered.body());
                     retryDelay = MIN_RETRY_DELAY;
                     failing = false;
+                    if (sharedReads != null) {
+                        sharedReads.recordOwnRead();
+                    }
                     listener.callSucceeded();
                     onPage.handle(page, dialect.decodeEra(answered.headers()));
                     return;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatcher.java
@@ -5,9 +5,12 @@
 import io.masticfold.core.directory.TargetTable;
 import io.masticfold.core.error.MasticfoldException;
 import io.masticfold.core.forward.ForwardConfig;
+import io.masticfold.core.stage.ServerOwnership;
 import io.masticfold.core.time.Scheduler;
 import io.masticfold.gateway.log.GatewayEvent;
 import io.masticfold.gateway.log.RateLimitedLog;
+import io.masticfold.gateway.peer.proto.KindRead;
+import io.masticfold.gateway.peer.proto.PeerStatus;
 import io.masticfold.gateway.protocol.GatewayAddress;
 import io.masticfold.gateway.protocol.StoreDialect;
 import io.masticfold.gateway.protocol.StoreKind;
@@ -18,6 +21,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
 /** Updates the {@link PlatformView} from the object store. Not thread-safe. */
@@ -32,6 +36,10 @@
     /** Pause between two watches of the gateways. */
     private static final Duration GATEWAYS_PAUSE = Duration.ofMillis(1000);
 
+    /** Age of the latest known read of the gateways at which every gateway reads them: longer than a watch can wait. */
+    private static final Duration GATEWAYS_FOLLOWER_INTERVAL =
+            GATEWAYS_PAUSE.plus(KindWatcher.WATCH_WAIT).plusMillis(500);
+
     /** Interval at which expired entries are removed. */
     private static final Duration EXPIRY_CHECK = Duration.ofMillis(250);
 
@@ -45,6 +53,9 @@
     private final List<KindWatcher> watchers;
     private final String node;
     private final Runnable onUnlisted;
+    private final SharedReads gatewayReads;
+    private final KindWatcher gatewayWatcher;
+    private Supplier<List<String>> reachablePeers = List::of;
     private boolean storeUnreachable;
     private boolean targetsListed;
     private boolean zonesListed;
@@ -72,23 +83,59 @@
         this.log = log;
         this.table = new TargetTable(scheduler);
         this.zonesOut = new DisabledZones(scheduler);
+        this.gatewayReads = new SharedReads(
+                StoreKind.GATEWAYS,
+                scheduler,
+                GATEWAYS_PAUSE,
+                GATEWAYS_FOLLOWER_INTERVAL,
+                () -> isReader(StoreKind.GATEWAYS),
+                object -> object.name() + object.content());
+        this.gatewayWatcher = new KindWatcher(
+                store, dialect, scheduler, StoreKind.GATEWAYS, GATEWAYS_PAUSE, new GatewayListener(), gatewayReads);
         this.watchers = List.of(
-                new KindWatcher(
-                        store,
-                        dialect,
-                        scheduler,
-                        StoreKind.CONFIGURATION,
-                        CONFIGURATION_AND_ZONES_PAUSE,
-                        new ConfigurationListener()),
-                new KindWatcher(store, dialect, scheduler, StoreKind.TARGETS, TARGETS_PAUSE, new TargetListener()),
-                new KindWatcher(
-                        store,
-                        dialect,
-                        scheduler,
-                        StoreKind.ZONES_OUT,
-                        CONFIGURATION_AND_ZONES_PAUSE,
-                        new ZoneListener()),
-                new KindWatcher(store, dialect, scheduler, StoreKind.GATEWAYS, GATEWAYS_PAUSE, new GatewayListener()));
+                unsharedWatcher(
+                        store, StoreKind.CONFIGURATION, CONFIGURATION_AND_ZONES_PAUSE, new ConfigurationListener()),
+                unsharedWatcher(store, StoreKind.TARGETS, TARGETS_PAUSE, new TargetListener()),
+                unsharedWatcher(store, StoreKind.ZONES_OUT, CONFIGURATION_AND_ZONES_PAUSE, new ZoneListener()),
+                gatewayWatcher);
+    }
+
+    private KindWatcher unsharedWatcher(
+            ObjectStoreClient store, StoreKind kind, Duration pause, KindListener listener) {
+        return new KindWatcher(store, dialect, scheduler, kind, pause, listener, null);
+    }
+
+    private boolean isReader(StoreKind kind) {
+        return ServerOwnership.ownerOf("read/" + kind, node, reachablePeers.get())
+                .equals(node);
+    }
+
+    /**
+     * Sets the peers among which the reads are shared.
+     *
+     * @param peers supplies the names of the reachable peers
+     */
+    public void shareReads(Supplier<List<String>> peers) {
+        reachablePeers = peers;
+    }
+
+    /** Adds the configuration version and the reads of this gateway to its status. */
+    public void addTo(PeerStatus.Builder status) {
+        status.setConfigurationVersion(configurationVersion())
+                .addReads(gatewayReads.encode(gatewayWatcher.known().era()));
+    }
+
+    /** Records the reads of a peer. */
+    public void handleStatus(String peer, PeerStatus status) {
+        for (KindRead read : status.getReadsList()) {
+            gatewayReads.recordPeerRead(peer, read);
+        }
+        gatewayWatcher.peerHasRead();
+    }
+
+    /** Forgets the reads of a peer that is no longer reachable. */
+    public void peerDisconnected(String peer) {
+        gatewayReads.removePeer(peer);
     }
 
     /** Starts listing and watching. */
