Bound answers without end in memory, interim responses and progress

Cause: bytes that are no answer may come without end. A single response was bounded (8 MB, 1 MB an event), all together were not; interim responses were read until the deadline; a stream that sends comments or a byte now and then lasted until the deadline of the request, long after its caller had left. Change: ResponseMemory limits the buffers of all responses to a quarter of the heap; more than 16 interim responses end an exchange; StreamWatchdog ends a stream without an event for the time that callers wait for one (a part of a second more, so that no caller who still waits is cut off), and rests while a slow caller holds the stream up.

--- a/masticfold-core/src/main/java/io/masticfold/core/stream/EventSplitter.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/stream/EventSplitter.java
@@ -47,6 +47,11 @@
         return size > 0;
     }
 
+    /** Returns the size of the incomplete event that is buffered, in bytes. */
+    public int incompleteBytes() {
+        return size;
+    }
+
     private boolean emptyLine() {
         int length = size - lineStart;
         return length == 1 || (length == 2 && buffer[lineStart] == '\r');
--- a/masticfold-core/src/main/java/io/masticfold/core/stream/StreamEvent.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/stream/StreamEvent.java
@@ -34,4 +34,10 @@
             return NO_ID;
         }
     }
+
+    /** Returns whether the event has an id or data, unlike a comment that only keeps the connection open. */
+    public boolean carriesContent() {
+        String text = new String(bytes, StandardCharsets.UTF_8);
+        return id != NO_ID || text.lines().anyMatch(line -> line.startsWith("data"));
+    }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/BufferedCall.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/BufferedCall.java
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
-import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.function.Consumer;
@@ -22,19 +21,17 @@
 /** Sends a request and buffers the complete response, with a time-out for the whole call. */
 public final class BufferedCall implements ExchangeListener {
 
-    /** Maximum size of a buffered response body, in bytes. */
-    static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
-
     private final Consumer<CallResult> receiver;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final ResponseBody body;
     private Exchange exchange = Exchange.ENDED;
     private Cancellable timeout = Cancellable.NONE;
     private @Nullable HttpResponse response;
     private boolean firstOnConnection;
     private boolean ended;
 
-    private BufferedCall(Consumer<CallResult> receiver) {
+    private BufferedCall(Consumer<CallResult> receiver, ResponseMemory memory) {
         this.receiver = receiver;
+        this.body = new ResponseBody(memory);
     }
 
     /**
@@ -57,7 +54,7 @@
             ConnectionChoice choice,
             Duration timeout,
             Consumer<CallResult> receiver) {
-        BufferedCall call = new BufferedCall(receiver);
+        BufferedCall call = new BufferedCall(receiver, client.responseMemory());
         call.timeout = scheduler.schedule(timeout, () -> call.expire(timeout));
         call.exchange = client.send(address, request, choice, call);
         return call::cancel;
@@ -89,6 +86,7 @@
             ended = true;
             timeout.cancel();
             exchange.cancel();
+            body.release();
         }
     }
 
@@ -102,6 +100,7 @@
     private void finish(CallResult result) {
         ended = true;
         timeout.cancel();
+        body.release();
         receiver.accept(result);
     }
 
@@ -116,15 +115,10 @@
         if (ended) {
             return;
         }
-        if (body.size() + bytes.readableBytes() > MAX_BODY_BYTES) {
+        if (!body.append(bytes)) {
             exchange.cancel();
-            finish(new CallResult.Failed(
-                    ExchangeFailure.BROKEN, "response is larger than " + MAX_BODY_BYTES + " bytes"));
-            return;
+            finish(new CallResult.Failed(ExchangeFailure.BROKEN, "response is too large to be buffered"));
         }
-        byte[] chunk = new byte[bytes.readableBytes()];
-        bytes.getBytes(bytes.readerIndex(), chunk);
-        body.writeBytes(chunk);
     }
 
     @Override
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpClient.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpClient.java
@@ -43,6 +43,7 @@
     private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
     private static final int KEEP_ALIVE_PROBES = 2;
 
+    private final ResponseMemory responseMemory = new ResponseMemory();
     private final EventLoopGroup group;
     private final TimeSource time;
     private final Map<InetSocketAddress, Deque<Idle>> idle = new HashMap<>();
@@ -80,6 +81,11 @@
         return connection;
     }
 
+    /** Returns the limit on the memory of buffered responses. */
+    public ResponseMemory responseMemory() {
+        return responseMemory;
+    }
+
     /** Returns the number of connections opened so far. */
     public long opened() {
         return opened;
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ResponseMemory.java
@@ -0,0 +1,45 @@
+package io.masticfold.gateway.http;
+
+/**
+ * Limits the memory of all responses that are buffered at the same time. A response has a limit of its own, but
+ * hundreds of servers in trouble may send bytes without end at once. Used on one event loop only.
+ */
+public final class ResponseMemory {
+
+    /** Part of the heap that buffered responses may occupy. */
+    private static final int HEAP_DIVISOR = 4;
+
+    private final long maxBytes;
+    private long reservedBytes;
+
+    /** Creates a limit of a quarter of the heap. */
+    public ResponseMemory() {
+        this(Runtime.getRuntime().maxMemory() / HEAP_DIVISOR);
+    }
+
+    ResponseMemory(long maxBytes) {
+        if (maxBytes < 1) {
+            throw new IllegalArgumentException("maxBytes must be positive: " + maxBytes);
+        }
+        this.maxBytes = maxBytes;
+    }
+
+    /** Reserves memory; returns false, and reserves nothing, if there is not enough. */
+    public boolean reserve(long bytes) {
+        if (reservedBytes + bytes > maxBytes) {
+            return false;
+        }
+        reservedBytes += bytes;
+        return true;
+    }
+
+    /** Returns memory that was reserved. */
+    public void release(long bytes) {
+        reservedBytes -= bytes;
+    }
+
+    /** Returns the reserved memory, in bytes. */
+    public long reservedBytes() {
+        return reservedBytes;
+    }
+}
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
@@ -18,12 +18,16 @@
 /** Carries exchanges over a connection to a server, one at a time. Used on its event loop only. */
 final class ServerConnection extends ChannelInboundHandlerAdapter implements Exchange {
 
+    /** Maximum number of interim (1xx) responses before a response. */
+    private static final int MAX_INTERIM_RESPONSES = 16;
+
     private final HttpClient owner;
     private final InetSocketAddress address;
     private @Nullable Channel channel;
     private @Nullable ExchangeListener listener;
     private @Nullable FullHttpRequest unsent;
     private int exchanges;
+    private int interimResponses;
     private boolean headSeen;
     private boolean closeAfterResponse;
     private boolean sent;
@@ -48,6 +52,7 @@
     void exchange(FullHttpRequest request, ExchangeListener nextListener) {
         listener = nextListener;
         headSeen = false;
+        interimResponses = 0;
         closeAfterResponse = false;
         sent = true;
         exchanges++;
@@ -146,6 +151,11 @@
 
     private void head(HttpResponse response) {
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            interimResponses++;
+            if (interimResponses > MAX_INTERIM_RESPONSES) {
+                fail(ExchangeFailure.BROKEN, "more than " + MAX_INTERIM_RESPONSES + " interim responses");
+                close();
+            }
             return;
         }
         headSeen = true;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -47,6 +47,7 @@
     private final Consumer<RequestRun> onEnd;
     private final FinalResponse response;
     private final @Nullable StreamProgress progress;
+    private final StreamWatchdog watchdog;
     private final Set<String> excluded = new HashSet<>();
     private final Deadline deadline;
     private Cancellable timer = Cancellable.NONE;
@@ -72,6 +73,7 @@
         this.progress = routed.route().kind().streaming() ? new StreamProgress(callerResponse) : null;
         this.deadline = routed.deadline();
         this.stages = new RequestStages(services, routed);
+        this.watchdog = new StreamWatchdog(context.scheduler(), routed.route().eventPatience(), this::stalled);
     }
 
     void start() {
@@ -164,6 +166,9 @@
                         repeatable ? ConnectionChoice.REUSE : ConnectionChoice.FRESH,
                         next);
         next.started(exchange);
+        if (progress != null) {
+            watchdog.start();
+        }
         if (stages.hasRun()) {
             context.scheduler().schedule(ASSUMED_RESULT_READ_TIME, () -> inputsRead(next));
         }
@@ -191,13 +196,32 @@
     }
 
     /** Called for each event forwarded to the caller; at the first one the target has read all stage results. */
-    void eventForwarded() {
+    void eventForwarded(StreamEvent event) {
+        if (event.carriesContent()) {
+            watchdog.progressed();
+        }
         if (!recorder.hasFirstEvent()) {
             recorder.recordFirstEvent();
             stages.release();
         }
     }
 
+    /** Pauses the watchdog while a slow caller, not the target, holds up the stream. */
+    private void pauseWatchdog(boolean paused) {
+        if (paused) {
+            watchdog.stop();
+        } else if (progress != null) {
+            watchdog.start();
+        }
+    }
+
+    private void stalled() {
+        TargetResponseReceiver active = send;
+        if (active != null && !ended) {
+            active.stalled(routed.route().eventPatience());
+        }
+    }
+
     void targetFailed(TargetTracker target, boolean nowSuspect) {
         if (nowSuspect) {
             context.log()
@@ -324,6 +348,7 @@
     private void end() {
         ended = true;
         timer.cancel();
+        watchdog.stop();
         stages.release();
         onEnd.accept(this);
     }
@@ -358,6 +383,7 @@
         TargetResponseReceiver active = send;
         if (active != null && !ended) {
             active.setAutoRead(writable);
+            pauseWatchdog(!writable);
         }
     }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
@@ -7,12 +7,15 @@
 import io.masticfold.gateway.http.Exchange;
 import io.masticfold.gateway.http.ExchangeFailure;
 import io.masticfold.gateway.http.ExchangeListener;
+import io.masticfold.gateway.http.ResponseBody;
+import io.masticfold.gateway.http.ResponseMemory;
 import io.masticfold.gateway.protocol.HeaderNames;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -21,9 +24,6 @@
  */
 final class TargetResponseReceiver implements ExchangeListener {
 
-    /** Maximum size of a buffered response body, in bytes. */
-    private static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
-
     private final GatewayContext context;
     private final RequestRun run;
     private final TargetTracker target;
@@ -31,7 +31,7 @@
     private final long tokens;
     private final @Nullable StreamProgress progress;
     private final EventSplitter splitter = new EventSplitter();
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final ResponseBody body;
     private Exchange exchange = Exchange.ENDED;
     private @Nullable HttpResponse response;
     private boolean firstOnConnection;
@@ -39,6 +39,7 @@
     private boolean firstTokenRecorded;
     private boolean ended;
     private int eventsSeen;
+    private long reservedIncompleteBytes;
 
     /**
      * Creates the listener for one send.
@@ -55,6 +56,7 @@
             long tokens,
             @Nullable StreamProgress progress) {
         this.context = context;
+        this.body = new ResponseBody(context.client().responseMemory());
         this.run = run;
         this.target = target;
         this.attemptId = attemptId;
@@ -114,14 +116,12 @@
         if (ended) {
             return;
         }
-        byte[] chunk = new byte[bytes.readableBytes()];
-        bytes.getBytes(bytes.readerIndex(), chunk);
         if (forwarding) {
+            byte[] chunk = new byte[bytes.readableBytes()];
+            bytes.getBytes(bytes.readerIndex(), chunk);
             forward(chunk);
-        } else if (body.size() + chunk.length > MAX_BODY_BYTES) {
-            abort("response is larger than " + MAX_BODY_BYTES + " bytes");
-        } else {
-            body.writeBytes(chunk);
+        } else if (!body.append(bytes)) {
+            abort("response is too large to be buffered");
         }
     }
 
@@ -132,20 +132,46 @@
             return;
         }
         try {
-            for (StreamEvent event : splitter.feed(chunk)) {
+            int before = splitter.incompleteBytes();
+            List<StreamEvent> events = splitter.feed(chunk);
+            if (!reserveIncomplete(before)) {
+                abort("stream is too large to be buffered");
+                return;
+            }
+            for (StreamEvent event : events) {
                 eventsSeen++;
                 recordFirstToken();
                 if (!stream.forward(head.status().code(), head.headers(), event)) {
                     abort("event " + event.id() + " does not follow " + stream.lastEventId());
                     return;
                 }
-                run.eventForwarded();
+                run.eventForwarded(event);
             }
         } catch (IllegalStateException e) {
             abort(String.valueOf(e.getMessage()));
         }
     }
 
+    private boolean reserveIncomplete(int before) {
+        int growth = splitter.incompleteBytes() - before;
+        ResponseMemory memory = context.client().responseMemory();
+        if (growth > 0 && !memory.reserve(growth)) {
+            return false;
+        }
+        if (growth < 0) {
+            memory.release(-growth);
+        }
+        reservedIncompleteBytes += growth;
+        return true;
+    }
+
+    /** Ends the send because no event has arrived for too long. */
+    void stalled(Duration patience) {
+        if (!ended) {
+            abort("no event for " + patience.toMillis() + " ms");
+        }
+    }
+
     @Override
     public void end() {
         HttpResponse head = response;
@@ -238,6 +264,9 @@
         ended = true;
         recordFirstToken();
         target.ended();
+        body.release();
+        context.client().responseMemory().release(reservedIncompleteBytes);
+        reservedIncompleteBytes = 0;
     }
 
     private void recordFirstToken() {
