Keep a connection open that was not announced to close when draining

Cause: a gateway that began to drain closed a kept connection right after a response that had not announced it; the next request of its caller, sent in between, was cut off without an answer (one of the failures that operators of similar systems reported). DelayedAnswerTests failed with requests unanswered. Tests: DelayedAnswerTests: second copies of an answer while the connection is idle, before the next answer and in halves; a slow but sound stream; a target whose entry expires while it works; a planned stop under load.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/CallerConnection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/CallerConnection.java
@@ -206,7 +206,9 @@
         }
         CallerRequest next = waiting.poll();
         if (next == null) {
-            if (lastRequestRead || server.draining()) {
+            // A draining server closes the connection only after a response that has announced it: the caller may be
+            // sending its next request.
+            if (lastRequestRead) {
                 closing = true;
                 channelContext.close();
             } else {
