Schedule about four stage servers by one gateway

Change: partitions of four servers in place of 16. Ruled out: transfer of inputs between zones as the cause, since the pool that reads 8 kB a piece was as slow as the others.

--- a/masticfold-core/src/main/java/io/masticfold/core/stage/StagePartitions.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/stage/StagePartitions.java
@@ -11,7 +11,7 @@
 public final class StagePartitions {
 
     /** Largest average number of servers in a partition. */
-    static final int MAX_SERVERS = 16;
+    static final int MAX_SERVERS = 4;
 
     private StagePartitions() {}
 
