Hold decisions back after a pause until the store was read again

Cause: a gateway that was stopped or whose machine was suspended for seconds acted on the configuration, targets and zones it knew before, until its next watch returned. Change: PauseGuard (core, both clocks, no I/O) sees the pause before any decision: arrival of a request, choice of a target, call of a stage server. PauseRecovery reads all kinds anew and drops answers to calls from before the pause; requests wait for that, at most for the 1.5 s of a list. A store that does not answer leaves the gateway with what it knows, as in an outage. Tests first: PausedProcessTests stops a real process with SIGSTOP. PauseGuardTests: second pauses, order, a suspension that the monotonic clock does not count. Ruled out: relying on the open watch (its answer may be from before the change); reading the boot clock (no Java 17 interface; the time of day shows the same and a false alarm costs four lists).

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -4,6 +4,7 @@
 import io.masticfold.core.forward.RequestLimits;
 import io.masticfold.core.retry.RetryBudget;
 import io.masticfold.core.retry.SlidingWindowRetryBudget;
+import io.masticfold.core.time.PauseGuard;
 import io.masticfold.core.time.Scheduler;
 import io.masticfold.core.time.TimeSource;
 import io.masticfold.gateway.context.GatewayContext;
@@ -24,6 +25,7 @@
 import io.masticfold.gateway.stage.StageAdmissionQueue;
 import io.masticfold.gateway.stage.StageDispatcher;
 import io.masticfold.gateway.store.ObjectStoreClient;
+import io.masticfold.gateway.store.PauseRecovery;
 import io.masticfold.gateway.store.PeerStateExchange;
 import io.masticfold.gateway.store.PlatformView;
 import io.masticfold.gateway.store.PlatformWatcher;
@@ -74,6 +76,7 @@
     private final RateLimitedLog log;
     private final ObjectStoreClient store;
     private final PlatformWatcher platformWatcher;
+    private final PauseRecovery pauseRecovery;
     private final PeerStateExchange peerStateExchange;
     private final StageDispatcher stageDispatcher;
     private final StageAdmissionQueue admissionQueue;
@@ -102,7 +105,10 @@
         this.store = new ObjectStoreClient(client, scheduler, settings.store());
         this.platformWatcher =
                 new PlatformWatcher(store, protocol.store(), scheduler, view, log, settings.node(), this::register);
-        GatewayContext context = new GatewayContext(this.settings, protocol, client, scheduler, view, log, telemetry);
+        PauseGuard pauseGuard = new PauseGuard(scheduler, PauseRecovery.MAX_DELAY);
+        this.pauseRecovery = new PauseRecovery(pauseGuard, platformWatcher, scheduler, log);
+        GatewayContext context =
+                new GatewayContext(this.settings, protocol, client, scheduler, pauseGuard, view, log, telemetry);
         this.peerStateExchange = new PeerStateExchange(platformWatcher, scheduler, log);
         this.stageDispatcher = new StageDispatcher(context, _name -> retryBudget());
         this.admissionQueue = new StageAdmissionQueue(context);
@@ -176,6 +182,7 @@
         EventLoop loop = group.next();
         loop.execute(() -> {
             platformWatcher.start();
+            pauseRecovery.start();
             stageDispatcher.start(peers, platformWatcher::addTo);
             platformWatcher.shareReads(peers::reachable);
             peerStateExchange.start(peers);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/context/GatewayContext.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/context/GatewayContext.java
@@ -1,6 +1,7 @@
 package io.masticfold.gateway.context;
 
 import io.masticfold.core.telemetry.Telemetry;
+import io.masticfold.core.time.PauseGuard;
 import io.masticfold.core.time.Scheduler;
 import io.masticfold.gateway.http.HttpClient;
 import io.masticfold.gateway.log.RateLimitedLog;
@@ -16,6 +17,7 @@
  * @param protocol header names, data formats and calls of the platform
  * @param client sends requests to servers
  * @param scheduler clock and timers of the event loop
+ * @param pauseGuard holds decisions back after a pause of the process until the view has been read again
  * @param view local view of the platform: configuration, targets and peers
  * @param log rate-limited structured log
  * @param telemetry metrics
@@ -25,6 +27,7 @@
         PlatformProtocol protocol,
         HttpClient client,
         Scheduler scheduler,
+        PauseGuard pauseGuard,
         PlatformView view,
         RateLimitedLog log,
         Telemetry telemetry) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
@@ -38,7 +38,8 @@
     PEER_STATE_REJECTED(6033, Level.ERROR, "state received from a peer cannot be decoded"),
     TASK_FAILED(6034, Level.ERROR, "a task of the event loop failed because of an internal error"),
     CONNECTION_FAILED(6035, Level.ERROR, "a caller's connection failed because of an internal error"),
-    STORE_RESTORED(6036, Level.WARN, "the object store was restored from a copy; what it lacks is kept for a while");
+    STORE_RESTORED(6036, Level.WARN, "the object store was restored from a copy; what it lacks is kept for a while"),
+    PROCESS_PAUSED(6037, Level.WARN, "this process was paused; decisions wait until the object store was read again");
 
     private final EventDefinition definition;
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
@@ -57,6 +57,17 @@
     @Override
     public CallerListener handle(CallerRequest request, CallerResponse response) {
         CallerMetadata metadata = context.protocol().decodeCaller(request.headers());
+        if (context.pauseGuard().passes()) {
+            return start(request, metadata, response);
+        }
+        return HeldRequest.hold(
+                context,
+                Duration.ofMillis(Math.max(0, metadata.deadlineMillis())),
+                () -> start(request, metadata, response),
+                () -> refuse(request, metadata, response, ErrorKind.OVERLOADED, "deadline passed after a pause"));
+    }
+
+    private CallerListener start(CallerRequest request, CallerMetadata metadata, CallerResponse response) {
         try {
             return route(request, metadata, response);
         } catch (RuntimeException e) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -124,6 +124,14 @@
     }
 
     private void sendToTarget() {
+        context.pauseGuard().run(() -> {
+            if (!ended) {
+                chooseTarget();
+            }
+        });
+    }
+
+    private void chooseTarget() {
         ForwardConfig config = context.view().config();
         Optional<PoolSpec> spec = config == null ? Optional.empty() : config.pool(routed.pool());
         if (spec.isEmpty()) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StagePoolQueue.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StagePoolQueue.java
@@ -139,10 +139,10 @@
     private void scheduleSend(Duration delay) {
         if (!sendScheduled) {
             sendScheduled = true;
-            context.scheduler().schedule(delay, () -> {
+            context.scheduler().schedule(delay, () -> context.pauseGuard().run(() -> {
                 sendScheduled = false;
                 sendNext();
-            });
+            }));
         }
     }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/KindWatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/KindWatcher.java
@@ -15,6 +15,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /** Lists the objects of one kind and then watches their changes until the gateway exits. Not thread-safe. */
@@ -48,6 +49,8 @@
     private StorePosition known = StorePosition.NONE;
     private boolean failing;
     private @Nullable Cancellable nextWatch;
+    private @Nullable Runnable onReread;
+    private int reads;
 
     /**
      * Creates a watcher.
@@ -76,6 +79,36 @@
         list(null);
     }
 
+    /**
+     * Reads the complete list at once. The answer to a call in progress may be older than this and is ignored.
+     *
+     * @param onEnd called once when the list has been read, or could not be read
+     */
+    void reread(Runnable onEnd) {
+        if (nextWatch != null) {
+            nextWatch.cancel();
+        }
+        onReread = onEnd;
+        list(null);
+    }
+
+    private void rereadEnded() {
+        Runnable onEnd = onReread;
+        onReread = null;
+        if (onEnd != null) {
+            onEnd.run();
+        }
+    }
+
+    private void read(String uri, Duration timeout, Consumer<CallResult> receiver) {
+        int own = ++reads;
+        store.read(uri, timeout, result -> {
+            if (own == reads) {
+                receiver.accept(result);
+            }
+        });
+    }
+
     /** Returns the watched kind. */
     StoreKind kind() {
         return kind;
@@ -128,7 +161,7 @@
         if (after == null) {
             pages = new ArrayList<>();
         }
-        store.read(dialect.listUri(kind, after), LIST_TIMEOUT, this::handleList);
+        read(dialect.listUri(kind, after), LIST_TIMEOUT, this::handleList);
     }
 
     private void handleList(CallResult result) {
@@ -151,6 +184,7 @@
                         if (!known.isAfter(listPosition)) {
                             replaceAll(List.copyOf(pages), listPosition);
                         }
+                        rereadEnded();
                         scheduleWatch();
                     }
                 },
@@ -183,7 +217,7 @@
 
     private void watch() {
         nextWatch = null;
-        store.read(
+        read(
                 dialect.watchUri(kind, known.revision(), WATCH_WAIT),
                 WATCH_WAIT.plus(RESPONSE_TIMEOUT),
                 this::handleWatch);
@@ -254,9 +288,15 @@
         }
         failing = true;
         listener.callFailed(kind + ": " + problem);
-        scheduler.schedule(retryDelay, retry);
+        int failed = reads;
+        scheduler.schedule(retryDelay, () -> {
+            if (failed == reads) {
+                retry.run();
+            }
+        });
         Duration doubled = retryDelay.multipliedBy(2);
         retryDelay = doubled.compareTo(MAX_RETRY_DELAY) > 0 ? MAX_RETRY_DELAY : doubled;
+        rereadEnded();
     }
 
     /** Decodes a response of the store. */
