Let followers keep one long watch of configuration and zones

Change: one gateway per kind, the reader, keeps those short turns and tells a digest of what it read; the others hold one watch of 25 s and abandon it when the digest differs or no gateway has read for as long as a short turn can take (decision 16). Reads of a lost peer stay evidence, so that its followers do not all read at once. KindWatcher asks a ReadPlan instead of checking for null. Ruled out: followers without a watch of their own (a reader cut off would delay changes beyond their bounds); stale reads.

--- a/masticfold-core/src/main/java/io/masticfold/core/directory/SharedReadSchedule.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/directory/SharedReadSchedule.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 
 /**
  * Decides when a gateway reads a kind of object from the store. Load pattern: dozens of gateways that all read the same
@@ -20,6 +21,7 @@
     private final Duration followerInterval;
     private final Map<String, PeerRead> peerReads = new HashMap<>();
     private long ownReadNanos;
+    private boolean ownReadRecorded;
 
     /**
      * Creates a schedule.
@@ -42,6 +44,7 @@
     /** Records that the store has answered a read of this gateway. */
     public void recordOwnRead() {
         ownReadNanos = time.nanoTime();
+        ownReadRecorded = true;
     }
 
     /** Returns the time since the store answered the last read of this gateway. */
@@ -71,17 +74,32 @@
      * @param own what this gateway knows
      */
     public Duration delay(boolean reader, ReadState own) {
-        long latest = ownReadNanos;
+        long now = time.nanoTime();
+        long outdated = 2 * followerInterval.toNanos();
+        peerReads.values().removeIf(read -> now - read.nanos() > outdated);
         for (PeerRead read : peerReads.values()) {
-            if (read.state().equals(own) && read.nanos() - latest > 0) {
-                latest = read.nanos();
-            } else if (!read.state().equals(own) && read.nanos() - ownReadNanos > 0) {
+            if (!read.state().equals(own) && read.nanos() - ownReadNanos > 0) {
                 // The peer has read a change that this gateway does not know.
                 return Duration.ZERO;
             }
         }
-        long due = latest + (reader ? readerInterval : followerInterval).toNanos();
-        return Duration.ofNanos(Math.max(0, due - time.nanoTime()));
+        long due = confirmedNanos(own).orElse(ownReadNanos) + (reader ? readerInterval : followerInterval).toNanos();
+        return Duration.ofNanos(Math.max(0, due - now));
+    }
+
+    /**
+     * Returns the time of the latest read by any gateway that found what this gateway knows; empty before the first.
+     *
+     * @param own what this gateway knows
+     */
+    public OptionalLong confirmedNanos(ReadState own) {
+        OptionalLong latest = ownReadRecorded ? OptionalLong.of(ownReadNanos) : OptionalLong.empty();
+        for (PeerRead read : peerReads.values()) {
+            if (read.state().equals(own) && (latest.isEmpty() || read.nanos() - latest.getAsLong() > 0)) {
+                latest = OptionalLong.of(read.nanos());
+            }
+        }
+        return latest;
     }
 
     /**
--- a/masticfold-core/src/test/java/io/masticfold/core/directory/SharedReadScheduleTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/directory/SharedReadScheduleTests.java
@@ -6,10 +6,12 @@
 import io.masticfold.core.directory.SharedReadSchedule.ReadState;
 import io.masticfold.core.time.ManualScheduler;
 import java.time.Duration;
+import java.util.List;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against store reads that grow with the number of gateways, and against gateways that read too late. */
 final class SharedReadScheduleTests {
@@ -58,6 +60,42 @@
                 .hasMessageContaining("followerInterval");
     }
 
+    /** Otherwise all gateways would read in the same moment when they lose the reader. */
+    @ParameterizedTest
+    @ValueSource(ints = {4, 33, 100})
+    void aReadOfALostReaderThatIsKeptLetsTheNextOneTakeOverAlone(int gateways) {
+        time.advance(FOLLOWER.multipliedBy(20));
+        List<SharedReadSchedule> followers = IntStream.range(0, gateways)
+                .mapToObj(_i -> new SharedReadSchedule(time, READER, FOLLOWER))
+                .toList();
+        followers.forEach(SharedReadSchedule::recordOwnRead);
+        time.advance(FOLLOWER.multipliedBy(10));
+        followers.forEach(follower -> follower.recordPeerRead("lost", KNOWN, Duration.ZERO));
+        time.advance(READER);
+
+        assertThat(followers.get(0).delay(true, KNOWN)).isZero();
+        assertThat(followers.subList(1, gateways))
+                .allMatch(follower -> follower.delay(false, KNOWN).equals(FOLLOWER.minus(READER)));
+        followers.get(0).recordOwnRead();
+        followers.subList(1, gateways).forEach(follower -> follower.recordPeerRead("next", KNOWN, Duration.ZERO));
+        time.advance(READER);
+        assertThat(followers.subList(1, gateways))
+                .noneMatch(follower -> follower.delay(false, KNOWN).isZero());
+    }
+
+    @Test
+    void nothingIsConfirmedBeforeTheFirstRead() {
+        assertThat(schedule.confirmedNanos(KNOWN)).isEmpty();
+        schedule.recordPeerRead("g1", new ReadState(1, 43), Duration.ZERO);
+        assertThat(schedule.confirmedNanos(KNOWN)).isEmpty();
+
+        time.advance(Duration.ofMillis(500));
+        schedule.recordPeerRead("g2", KNOWN, Duration.ofMillis(100));
+
+        assertThat(schedule.confirmedNanos(KNOWN))
+                .hasValue(Duration.ofMillis(400).toNanos());
+    }
+
     /** Replays gateways that tell each other their reads every 100 ms, of which the reader fails after 20 s. */
     @ParameterizedTest
     @CsvSource({"4", "33", "100"})
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/KindWatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/KindWatcher.java
@@ -21,10 +21,10 @@
 /** Lists the objects of one kind and then watches their changes until the gateway exits. Not thread-safe. */
 final class KindWatcher {
 
-    /** Time for which the store may hold a watch open; short, to detect an unresponsive store early. */
+    /** Time for which the store may hold a watch open by which an unresponsive store is detected. */
     static final Duration WATCH_WAIT = Duration.ofMillis(2500);
 
-    /** Response timeout of a watch, in addition to {@link #WATCH_WAIT}. */
+    /** Response timeout of a watch, in addition to the time for which the store may hold it open. */
     static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(700);
 
     /** Timeout of a list call. */
@@ -41,7 +41,7 @@
     private final StoreKind kind;
     private final Duration pause;
     private final KindListener listener;
-    private final @Nullable SharedReads sharedReads;
+    private final ReadPlan plan;
     private List<StoreObject> pages = new ArrayList<>();
     private Duration retryDelay = MIN_RETRY_DELAY;
     private final Map<String, StoreObject> objects = new HashMap<>();
@@ -51,12 +51,13 @@
     private @Nullable Cancellable nextWatch;
     private @Nullable Runnable onReread;
     private int reads;
+    private boolean watching;
 
     /**
      * Creates a watcher.
      *
      * @param pause time between two watches; the next watch returns the changes made in between
-     * @param sharedReads decides which gateway reads the kind; null if every gateway does
+     * @param plan decides when this gateway reads
      */
     KindWatcher(
             ObjectStoreClient store,
@@ -65,14 +66,14 @@
             StoreKind kind,
             Duration pause,
             KindListener listener,
-            @Nullable SharedReads sharedReads) {
+            ReadPlan plan) {
         this.store = store;
         this.dialect = dialect;
         this.scheduler = scheduler;
         this.kind = kind;
         this.pause = pause;
         this.listener = listener;
-        this.sharedReads = sharedReads;
+        this.plan = plan;
     }
 
     void start() {
@@ -102,8 +103,10 @@
 
     private void read(String uri, Duration timeout, Consumer<CallResult> receiver) {
         int own = ++reads;
+        watching = false;
         store.read(uri, timeout, result -> {
             if (own == reads) {
+                watching = false;
                 receiver.accept(result);
             }
         });
@@ -150,9 +153,7 @@
         known = position;
         objects.clear();
         listed.forEach(object -> objects.put(object.name(), object));
-        if (sharedReads != null) {
-            sharedReads.replaceAll(listed);
-        }
+        plan.replaceAll(listed);
         listener.listed(listed, position.revision(), restored);
     }
 
@@ -196,31 +197,39 @@
     }
 
     private void watchIfDue() {
-        Duration delay = sharedReads == null ? Duration.ZERO : sharedReads.delay(known.era());
+        Duration delay = plan.delay(known.era());
         if (!delay.isZero()) {
             nextWatch = scheduler.schedule(delay, this::watchIfDue);
-        } else if (sharedReads != null && sharedReads.listInsteadOfWatch()) {
+        } else if (plan.listInsteadOfWatch()) {
             list(null);
         } else {
             watch();
         }
     }
 
-    /** Reads at once if a peer has read a change, unless a call is in progress or the last one has just ended. */
-    void peerHasRead() {
-        if (sharedReads != null && nextWatch != null && sharedReads.changeKnownToPeer(known.era())) {
+    /** Reads at once if the plan asks for it, unless a list is in progress or the last call has just ended. */
+    void readIfDue() {
+        if (watching) {
+            if (plan.readNow(known.era(), true)) {
+                list(null);
+            }
+        } else if (nextWatch != null && plan.readNow(known.era(), false)) {
             nextWatch.cancel();
             nextWatch = null;
             watchIfDue();
         }
     }
 
+    /** Returns the plan of the reads. */
+    ReadPlan plan() {
+        return plan;
+    }
+
     private void watch() {
         nextWatch = null;
-        read(
-                dialect.watchUri(kind, known.revision(), WATCH_WAIT),
-                WATCH_WAIT.plus(RESPONSE_TIMEOUT),
-                this::handleWatch);
+        Duration wait = plan.watchWait();
+        read(dialect.watchUri(kind, known.revision(), wait), wait.plus(RESPONSE_TIMEOUT), this::handleWatch);
+        watching = true;
     }
 
     private void handleWatch(CallResult result) {
@@ -253,9 +262,7 @@
     }
 
     private void put(StoreObject object) {
-        if (sharedReads != null) {
-            sharedReads.put(object);
-        }
+        plan.put(object);
         if (object.deleted()) {
             objects.remove(object.name());
         } else {
@@ -271,9 +278,7 @@
                     StorePage page = decoder.decode(answered.body());
                     retryDelay = MIN_RETRY_DELAY;
                     failing = false;
-                    if (sharedReads != null) {
-                        sharedReads.recordOwnRead();
-                    }
+                    plan.recordOwnRead();
                     listener.callSucceeded();
                     onPage.handle(page, dialect.decodeEra(answered.headers()));
                     return;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformView.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformView.java
@@ -25,9 +25,9 @@
         return config.get();
     }
 
-    /** Records the time at which the store last confirmed the configuration. */
-    public void recordConfirmation(long nowNanos) {
-        confirmedNanos.set(nowNanos);
+    /** Records a time at which the store confirmed the configuration; earlier ones than the latest are ignored. */
+    public void recordConfirmation(long nanos) {
+        confirmedNanos.accumulateAndGet(nanos, (latest, next) -> next - latest > 0 ? next : latest);
     }
 
     /** Returns the time since the store last confirmed the configuration. */
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatcher.java
@@ -40,7 +40,7 @@
     private static final Duration GATEWAYS_FOLLOWER_INTERVAL =
             GATEWAYS_PAUSE.plus(KindWatcher.WATCH_WAIT).plusMillis(500);
 
-    /** Interval at which expired entries are removed. */
+    /** Interval at which expired entries are removed and overdue reads are made. */
     private static final Duration EXPIRY_CHECK = Duration.ofMillis(250);
 
     private final StoreDialect dialect;
@@ -53,8 +53,8 @@
     private final List<KindWatcher> watchers;
     private final String node;
     private final Runnable onUnlisted;
-    private final SharedReads gatewayReads;
-    private final KindWatcher gatewayWatcher;
+    private final SharedWatches configurationWatches;
+    private final KindWatcher configurationWatcher;
     private Supplier<List<String>> reachablePeers = List::of;
     private boolean storeUnreachable;
     private boolean targetsListed;
@@ -83,26 +83,55 @@
         this.log = log;
         this.table = new TargetTable(scheduler);
         this.zonesOut = new DisabledZones(scheduler);
-        this.gatewayReads = new SharedReads(
+        this.configurationWatches = sharedWatches(StoreKind.CONFIGURATION);
+        this.configurationWatcher = new KindWatcher(
+                store,
+                dialect,
+                scheduler,
+                StoreKind.CONFIGURATION,
+                CONFIGURATION_AND_ZONES_PAUSE,
+                new ConfigurationListener(),
+                configurationWatches);
+        this.watchers = List.of(
+                configurationWatcher,
+                new KindWatcher(
+                        store,
+                        dialect,
+                        scheduler,
+                        StoreKind.TARGETS,
+                        TARGETS_PAUSE,
+                        new TargetListener(),
+                        IndependentReads.INSTANCE),
+                new KindWatcher(
+                        store,
+                        dialect,
+                        scheduler,
+                        StoreKind.ZONES_OUT,
+                        CONFIGURATION_AND_ZONES_PAUSE,
+                        new ZoneListener(),
+                        sharedWatches(StoreKind.ZONES_OUT)),
+                new KindWatcher(
+                        store,
+                        dialect,
+                        scheduler,
+                        StoreKind.GATEWAYS,
+                        GATEWAYS_PAUSE,
+                        new GatewayListener(),
+                        gatewayReads()));
+    }
+
+    private SharedWatches sharedWatches(StoreKind kind) {
+        return new SharedWatches(kind, scheduler, () -> isReader(kind));
+    }
+
+    private SharedReads gatewayReads() {
+        return new SharedReads(
                 StoreKind.GATEWAYS,
                 scheduler,
                 GATEWAYS_PAUSE,
                 GATEWAYS_FOLLOWER_INTERVAL,
                 () -> isReader(StoreKind.GATEWAYS),
                 object -> object.name() + object.content());
-        this.gatewayWatcher = new KindWatcher(
-                store, dialect, scheduler, StoreKind.GATEWAYS, GATEWAYS_PAUSE, new GatewayListener(), gatewayReads);
-        this.watchers = List.of(
-                unsharedWatcher(
-                        store, StoreKind.CONFIGURATION, CONFIGURATION_AND_ZONES_PAUSE, new ConfigurationListener()),
-                unsharedWatcher(store, StoreKind.TARGETS, TARGETS_PAUSE, new TargetListener()),
-                unsharedWatcher(store, StoreKind.ZONES_OUT, CONFIGURATION_AND_ZONES_PAUSE, new ZoneListener()),
-                gatewayWatcher);
-    }
-
-    private KindWatcher unsharedWatcher(
-            ObjectStoreClient store, StoreKind kind, Duration pause, KindListener listener) {
-        return new KindWatcher(store, dialect, scheduler, kind, pause, listener, null);
     }
 
     private boolean isReader(StoreKind kind) {
@@ -121,21 +150,28 @@
 
     /** Adds the configuration version and the reads of this gateway to its status. */
     public void addTo(PeerStatus.Builder status) {
-        status.setConfigurationVersion(configurationVersion())
-                .addReads(gatewayReads.encode(gatewayWatcher.known().era()));
+        status.setConfigurationVersion(configurationVersion());
+        watchers.forEach(watcher -> watcher.plan().addTo(status, watcher.known().era()));
     }
 
     /** Records the reads of a peer. */
     public void handleStatus(String peer, PeerStatus status) {
         for (KindRead read : status.getReadsList()) {
-            gatewayReads.recordPeerRead(peer, read);
+            watchers.forEach(watcher -> watcher.plan().recordPeerRead(peer, read));
         }
-        gatewayWatcher.peerHasRead();
+        if (status.getReadsCount() > 0) {
+            readIfDue();
+        }
+    }
+
+    private void readIfDue() {
+        watchers.forEach(KindWatcher::readIfDue);
+        configurationWatches.confirmedNanos(configurationWatcher.known().era()).ifPresent(view::recordConfirmation);
     }
 
-    /** Forgets the reads of a peer that is no longer reachable. */
+    /** Records that a peer is no longer reachable. */
     public void peerDisconnected(String peer) {
-        gatewayReads.removePeer(peer);
+        watchers.forEach(watcher -> watcher.plan().removePeer(peer));
     }
 
     /** Starts listing and watching. */
@@ -166,6 +202,7 @@
         if (table.expire()) {
             publish();
         }
+        readIfDue();
         scheduler.schedule(EXPIRY_CHECK, this::expire);
     }
 
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/SharedWatches.java
@@ -0,0 +1,67 @@
+package io.masticfold.gateway.store;
+
+import io.masticfold.core.time.TimeSource;
+import io.masticfold.gateway.protocol.StoreKind;
+import java.time.Duration;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Shares a kind that seldom changes: followers keep one watch open for long, and the reader watches in short turns,
+ * which proves that the store answers. A watch whose connection has gone silent is abandoned as soon as the reader
+ * knows more, or once no gateway has read for as long as a short watch can take.
+ */
+final class SharedWatches extends AbstractSharedReads {
+
+    /** Time for which the store may hold the watch of a follower open. */
+    static final Duration LONG_WATCH_WAIT = Duration.ofSeconds(25);
+
+    /** Age of the latest read by any gateway at which the reader reads: longer than one of its watches can take. */
+    static final Duration READER_INTERVAL = KindWatcher.WATCH_WAIT.plus(KindWatcher.RESPONSE_TIMEOUT);
+
+    /** Age at which followers read: after a reader that has just taken over. */
+    static final Duration FOLLOWER_INTERVAL = READER_INTERVAL.plusMillis(500);
+
+    /** Shortest time between two reads that are made because of what peers have read. */
+    private static final Duration MIN_SPACING = Duration.ofMillis(300);
+
+    /**
+     * Creates the shared watches of a kind.
+     *
+     * @param reader whether this gateway is the reader at present
+     */
+    SharedWatches(StoreKind kind, TimeSource time, BooleanSupplier reader) {
+        super(
+                kind,
+                time,
+                READER_INTERVAL,
+                FOLLOWER_INTERVAL,
+                reader,
+                object -> object.name() + " " + object.revision());
+    }
+
+    @Override
+    public Duration delay(long _era) {
+        return Duration.ZERO;
+    }
+
+    @Override
+    public boolean listInsteadOfWatch() {
+        return false;
+    }
+
+    @Override
+    public Duration watchWait() {
+        return isReader() ? KindWatcher.WATCH_WAIT : LONG_WATCH_WAIT;
+    }
+
+    @Override
+    public boolean readNow(long era, boolean watching) {
+        return watching
+                && schedule().ownReadAge().compareTo(MIN_SPACING) >= 0
+                && delayUntilDue(era).isZero();
+    }
+
+    /** Keeps what the peer has read: it stays true, and lets the next reader take over before all others read. */
+    @Override
+    public void removePeer(String _peer) {}
+}
