Let followers keep one long watch of the targets, too

Cause: what remained of the calls to the store were mostly watches of the targets that ended without a change. Change: targets are shared like configuration and zones. A follower abandons its watch for a digest that differs only after 250 ms, within which its own watch should have told the change, so that one change does not cost two calls. Tests: SharedReadTests counts the calls for targets, and adds a restore that leaves waiting watches open, and entries that lapsed in an outage that shows in nothing but silence.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatcher.java
@@ -30,7 +30,7 @@
     /** Pause between two watches of the configuration and of the zones, which rarely change. */
     private static final Duration CONFIGURATION_AND_ZONES_PAUSE = Duration.ofMillis(20);
 
-    /** Pause between two watches of the targets, which write often; batches their changes. */
+    /** Pause between two watches of the targets; batches their changes. */
     private static final Duration TARGETS_PAUSE = Duration.ofMillis(700);
 
     /** Pause between two watches of the gateways. */
@@ -101,7 +101,7 @@
                         StoreKind.TARGETS,
                         TARGETS_PAUSE,
                         new TargetListener(),
-                        IndependentReads.INSTANCE),
+                        sharedWatches(StoreKind.TARGETS)),
                 new KindWatcher(
                         store,
                         dialect,
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/SharedWatches.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/SharedWatches.java
@@ -3,6 +3,7 @@
 import io.masticfold.core.time.TimeSource;
 import io.masticfold.gateway.protocol.StoreKind;
 import java.time.Duration;
+import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -21,8 +22,11 @@
     /** Age at which followers read: after a reader that has just taken over. */
     static final Duration FOLLOWER_INTERVAL = READER_INTERVAL.plusMillis(500);
 
-    /** Shortest time between two reads that are made because of what peers have read. */
-    private static final Duration MIN_SPACING = Duration.ofMillis(300);
+    /** Time within which a change that a peer has read should also arrive on the own watch. */
+    private static final Duration ARRIVAL_WINDOW = Duration.ofMillis(250);
+
+    private final TimeSource time;
+    private OptionalLong dueSinceNanos = OptionalLong.empty();
 
     /**
      * Creates the shared watches of a kind.
@@ -37,6 +41,7 @@
                 FOLLOWER_INTERVAL,
                 reader,
                 object -> object.name() + " " + object.revision());
+        this.time = time;
     }
 
     @Override
@@ -56,9 +61,15 @@
 
     @Override
     public boolean readNow(long era, boolean watching) {
-        return watching
-                && schedule().ownReadAge().compareTo(MIN_SPACING) >= 0
-                && delayUntilDue(era).isZero();
+        if (!watching || !delayUntilDue(era).isZero()) {
+            dueSinceNanos = OptionalLong.empty();
+            return false;
+        }
+        long now = time.nanoTime();
+        if (dueSinceNanos.isEmpty()) {
+            dueSinceNanos = OptionalLong.of(now);
+        }
+        return now - dueSinceNanos.getAsLong() >= ARRIVAL_WINDOW.toNanos();
     }
 
     /** Keeps what the peer has read: it stays true, and lets the next reader take over before all others read. */
