Bound header fields, tiny chunks and the share of a read turn of one server

Cause: a test with a thousand answers without end at once, against a gateway process with the heap of production, failed in two of its five cases: callers' connections ended without an answer. Change: at most 128 header fields, and as many trailers; 64 bytes reserved for each chunk beside its content; at most four reads of 16 KiB from one server in a turn. Ruled out: fewer than 64 KiB of header (a large field costs no more than its bytes).

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpClient.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpClient.java
@@ -2,6 +2,7 @@
 
 import io.masticfold.core.time.TimeSource;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -9,9 +10,11 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -43,6 +46,18 @@
     private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
     private static final int KEEP_ALIVE_PROBES = 2;
 
+    /** Reads of a connection in one turn of the event loop, and the size of each: no server may hold up the others. */
+    private static final int READS_PER_TURN = 4;
+
+    private static final int MIN_READ_BYTES = 512;
+    private static final int INITIAL_READ_BYTES = 2048;
+    private static final int MAX_READ_BYTES = 16 * 1024;
+
+    private static final HttpHeadersFactory HEADERS =
+            LimitedHeaders.factory(DefaultHttpHeadersFactory.headersFactory());
+    private static final HttpHeadersFactory TRAILERS =
+            LimitedHeaders.factory(DefaultHttpHeadersFactory.trailersFactory());
+
     private final ResponseMemory responseMemory = new ResponseMemory();
     private final EventLoopGroup group;
     private final TimeSource time;
@@ -101,13 +116,20 @@
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_SECONDS)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+                                .maxMessagesPerRead(READS_PER_TURN))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .handler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
                                 .addLast(new HttpClientCodec(
-                                        new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES),
+                                        new HttpDecoderConfig()
+                                                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                                                .setHeadersFactory(HEADERS)
+                                                .setTrailersFactory(TRAILERS),
                                         HttpClientCodec.DEFAULT_PARSE_HTTP_AFTER_CONNECT_REQUEST,
                                         true))
                                 .addLast(connection);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ResponseBody.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ResponseBody.java
@@ -9,6 +9,12 @@
     /** Maximum size of a buffered body, in bytes. */
     public static final int MAX_BYTES = 8 * 1024 * 1024;
 
+    /**
+     * Reserved for each chunk in addition to its bytes. Bounds the work on answers of tiny chunks as well as their
+     * memory.
+     */
+    static final int CHUNK_OVERHEAD_BYTES = 64;
+
     private final ResponseMemory memory;
     private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     private long reservedBytes;
@@ -25,10 +31,11 @@
     /** Appends bytes; returns false, and appends nothing, if that exceeds the limit of the body or of all responses. */
     public boolean append(ByteBuf chunk) {
         int length = chunk.readableBytes();
-        if (bytes.size() + length > MAX_BYTES || !memory.reserve(length)) {
+        int reservation = length + CHUNK_OVERHEAD_BYTES;
+        if (bytes.size() + length > MAX_BYTES || !memory.reserve(reservation)) {
             return false;
         }
-        reservedBytes += length;
+        reservedBytes += reservation;
         byte[] copy = new byte[length];
         chunk.getBytes(chunk.readerIndex(), copy);
         bytes.writeBytes(copy);
