--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -8,7 +8,6 @@
 import io.masticfold.core.time.Scheduler;
 import io.masticfold.core.time.TimeSource;
 import io.masticfold.gateway.context.GatewayContext;
-import io.masticfold.gateway.http.CallResult;
 import io.masticfold.gateway.http.EventLoopScheduler;
 import io.masticfold.gateway.http.HttpClient;
 import io.masticfold.gateway.http.HttpServer;
@@ -18,12 +17,12 @@
 import io.masticfold.gateway.peer.PeerLinks;
 import io.masticfold.gateway.protocol.GatewayAddress;
 import io.masticfold.gateway.protocol.PlatformProtocol;
-import io.masticfold.gateway.protocol.StoreKind;
 import io.masticfold.gateway.request.ForwardHandler;
 import io.masticfold.gateway.request.TargetPools;
 import io.masticfold.gateway.settings.GatewaySettings;
 import io.masticfold.gateway.stage.StageAdmissionQueue;
 import io.masticfold.gateway.stage.StageDispatcher;
+import io.masticfold.gateway.store.GatewayRegistration;
 import io.masticfold.gateway.store.ObjectStoreClient;
 import io.masticfold.gateway.store.PauseRecovery;
 import io.masticfold.gateway.store.PeerStateExchange;
@@ -58,23 +57,14 @@
     /** Interval at which expired idle connections are closed. */
     private static final Duration IDLE_CHECK_INTERVAL = Duration.ofMillis(500);
 
-    /** Timeout of writing this gateway's entry to the store. */
-    private static final Duration REGISTER_TIMEOUT = Duration.ofSeconds(1);
-
-    /** Delay before a failed write of the entry is retried. */
-    private static final Duration REGISTER_RETRY_DELAY = Duration.ofSeconds(1);
-
-    private static final int CONFLICT = 409;
-
     private final AtomicReference<GatewaySettings> settings;
-    private final PlatformProtocol protocol;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final PlatformView view = new PlatformView();
     private final Scheduler scheduler;
     private final HttpClient client;
     private final RateLimitedLog log;
-    private final ObjectStoreClient store;
+    private final GatewayRegistration registration;
     private final PlatformWatcher platformWatcher;
     private final PauseRecovery pauseRecovery;
     private final PeerStateExchange peerStateExchange;
@@ -87,7 +77,6 @@
     private final HttpServer metrics;
     private volatile boolean stopping;
     private boolean readyLogged;
-    private boolean registering;
 
     /**
      * Creates a gateway.
@@ -96,15 +85,16 @@
      */
     public GatewayDaemon(GatewaySettings settings, PlatformProtocol protocol, GatewayMetrics telemetry) {
         this.settings = new AtomicReference<>(settings);
-        this.protocol = protocol;
         TimeSource time = TimeSource.system();
         EventLoop loop = group.next();
         this.scheduler = new EventLoopScheduler(loop, time);
         this.client = new HttpClient(group, time);
         this.log = new RateLimitedLog(time, telemetry);
-        this.store = new ObjectStoreClient(client, scheduler, settings.store());
-        this.platformWatcher =
-                new PlatformWatcher(store, protocol.store(), scheduler, view, log, settings.node(), this::register);
+        ObjectStoreClient store = new ObjectStoreClient(client, scheduler, settings.store());
+        GatewayAddress address = new GatewayAddress(settings.node(), settings.zone(), settings.peer());
+        this.registration = new GatewayRegistration(store, protocol.store(), scheduler, address);
+        this.platformWatcher = new PlatformWatcher(
+                store, protocol.store(), scheduler, view, log, settings.node(), registration::register);
         PauseGuard pauseGuard = new PauseGuard(scheduler, PauseRecovery.MAX_DELAY);
         this.pauseRecovery = new PauseRecovery(pauseGuard, platformWatcher, scheduler, log);
         GatewayContext context =
@@ -186,7 +176,7 @@
             stageDispatcher.start(peers, platformWatcher::addTo);
             platformWatcher.shareReads(peers::reachable);
             peerStateExchange.start(peers);
-            register();
+            registration.register();
             closeExpiredConnections();
             log.important(GatewayEvent.STARTED)
                     .addKeyValue("node", settings.get().node())
@@ -200,28 +190,6 @@
         scheduler.schedule(IDLE_CHECK_INTERVAL, this::closeExpiredConnections);
     }
 
-    /** Writes this gateway's own entry to the store. An entry that exists stays as it is. */
-    private void register() {
-        if (registering || stopping) {
-            return;
-        }
-        registering = true;
-        GatewayAddress address = new GatewayAddress(
-                settings.get().node(), settings.get().zone(), settings.get().peer());
-        store.create(
-                protocol.store().createUri(StoreKind.GATEWAYS),
-                protocol.store().encodeGateway(settings.get().node(), address),
-                REGISTER_TIMEOUT,
-                result -> {
-                    boolean exists = result instanceof CallResult.Answered answered
-                            && (answered.status() < 300 || answered.status() == CONFLICT);
-                    registering = false;
-                    if (!exists) {
-                        scheduler.schedule(REGISTER_RETRY_DELAY, this::register);
-                    }
-                });
-    }
-
     /**
      * Activates changed settings. A change of names or addresses takes effect only after a restart and is logged.
      *
@@ -259,6 +227,7 @@
         }
         stopping = true;
         group.next().execute(() -> {
+            registration.stop();
             log.important(GatewayEvent.STOPPING)
                     .addKeyValue("connections", front.connections())
                     .log();
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/KindWatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/KindWatcher.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.ObjLongConsumer;
 import org.jspecify.annotations.Nullable;
 
 /** Lists the objects of one kind and then watches their changes until the gateway exits. Not thread-safe. */
@@ -30,11 +31,6 @@
     /** Timeout of a list call. */
     static final Duration LIST_TIMEOUT = Duration.ofMillis(1500);
 
-    /** Bounds of the delay before a failed call is retried. */
-    static final Duration MIN_RETRY_DELAY = Duration.ofMillis(100);
-
-    static final Duration MAX_RETRY_DELAY = Duration.ofMillis(400);
-
     private final ObjectStoreClient store;
     private final StoreDialect dialect;
     private final Scheduler scheduler;
@@ -43,7 +39,7 @@
     private final KindListener listener;
     private final ReadPlan plan;
     private List<StoreObject> pages = new ArrayList<>();
-    private Duration retryDelay = MIN_RETRY_DELAY;
+    private final RetryDelay retryDelay = new RetryDelay();
     private final Map<String, StoreObject> objects = new HashMap<>();
     private StorePosition listPosition = StorePosition.NONE;
     private StorePosition known = StorePosition.NONE;
@@ -140,10 +136,7 @@
         return List.copyOf(objects.values());
     }
 
-    /**
-     * Returns whether the known objects may be outdated because a call failed and none has succeeded since. A 410
-     * response to a watch does not reset this; the list that follows does if it succeeds.
-     */
+    /** Returns whether a call failed and none has succeeded since; a 410 response to a watch is no success. */
     boolean failing() {
         return failing;
     }
@@ -270,17 +263,18 @@
         }
     }
 
-    private void handleResult(CallResult result, Decoder decoder, PageHandler onPage, Runnable retry) {
+    private void handleResult(
+            CallResult result, PageDecoder decoder, ObjLongConsumer<StorePage> onPage, Runnable retry) {
         String problem;
         if (result instanceof CallResult.Answered answered) {
             if (answered.status() == HttpResponseStatus.OK.code()) {
                 try {
                     StorePage page = decoder.decode(answered.body());
-                    retryDelay = MIN_RETRY_DELAY;
+                    retryDelay.reset();
                     failing = false;
                     plan.recordOwnRead();
                     listener.callSucceeded();
-                    onPage.handle(page, dialect.decodeEra(answered.headers()));
+                    onPage.accept(page, dialect.decodeEra(answered.headers()));
                     return;
                 } catch (MasticfoldException e) {
                     problem = "malformed response: " + e.getMessage();
@@ -294,23 +288,11 @@
         failing = true;
         listener.callFailed(kind + ": " + problem);
         int failed = reads;
-        scheduler.schedule(retryDelay, () -> {
+        scheduler.schedule(retryDelay.next(), () -> {
             if (failed == reads) {
                 retry.run();
             }
         });
-        Duration doubled = retryDelay.multipliedBy(2);
-        retryDelay = doubled.compareTo(MAX_RETRY_DELAY) > 0 ? MAX_RETRY_DELAY : doubled;
         rereadEnded();
     }
-
-    /** Decodes a response of the store. */
-    private interface Decoder {
-        StorePage decode(byte[] body) throws MasticfoldException;
-    }
-
-    /** Handles a page of the era of the store in which it was read. */
-    private interface PageHandler {
-        void handle(StorePage page, long era);
-    }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PeerStateExchange.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PeerStateExchange.java
@@ -89,7 +89,7 @@
         PeerLinks peerLinks = links;
         long now = scheduler.nanoTime();
         boolean requestedRecently = now - configurationRequestNanos < REQUEST_INTERVAL.toNanos();
-        if (status.getConfigurationVersion() > watch.configurationVersion()
+        if (status.getConfigurationVersion() > watch.configuration().version()
                 && !requestedRecently
                 && peerLinks != null) {
             configurationRequestNanos = now;
@@ -128,7 +128,7 @@
                 .setEra(watcher.known().era())
                 .setRevision(watcher.known().revision());
         boolean configuration = watcher.kind() == StoreKind.CONFIGURATION;
-        for (StoreObject object : configuration ? watch.activeConfiguration() : watcher.objects()) {
+        for (StoreObject object : configuration ? watch.configuration().active() : watcher.objects()) {
             kind.addObjects(KnownObject.newBuilder()
                     .setName(object.name())
                     .setRevision(object.revision())
@@ -161,7 +161,7 @@
                         false));
             }
             if (watcher.kind() == StoreKind.CONFIGURATION) {
-                watch.offerConfiguration(objects);
+                watch.configuration().offer(objects);
             }
             if (watcher.replaceIfNewer(objects, offered)) {
                 log.important(GatewayEvent.PEER_STATE_ADOPTED)
