--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/ReadPlan.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/ReadPlan.java
@@ -34,7 +34,7 @@
      */
     boolean readNow(long era, boolean watching);
 
-    /** Returns the time since the latest read by any gateway that found what this gateway knows; zero before one did. */
+    /** Returns the time since the latest read by any gateway that found what this one knows; zero before one did. */
     Duration sinceConfirmed(long era);
 
     /** Adds the latest own read to the status for the peers. */
