--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/CallerMetadata.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/CallerMetadata.java
@@ -29,4 +29,12 @@
         promptParts = List.copyOf(promptParts);
         stagePieces = List.copyOf(stagePieces);
     }
+
+    /** Returns the ids of the parts that other prompts may share: all but the last. */
+    public List<String> sharedPartIds() {
+        return promptParts.stream()
+                .limit(Math.max(0, promptParts.size() - 1))
+                .map(PromptPart::id)
+                .toList();
+    }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRecorder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRecorder.java
@@ -74,6 +74,7 @@
                 .addKeyValue("firstEventMillis", firstEventMillis)
                 .addKeyValue("totalMillis", sinceStart())
                 .addKeyValue("configVersion", routed.configVersion())
+                .addKeyValue("promptParts", routed.loggedPromptParts())
                 .log();
     }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -186,6 +186,7 @@
                 .addKeyValue("target", target.target().id())
                 .addKeyValue("send", sends)
                 .addKeyValue("leftMillis", remaining().toMillis())
+                .addKeyValue("promptParts", routed.loggedPromptParts())
                 .log();
     }
 
@@ -260,6 +261,9 @@
                 .addKeyValue("outcome", result.outcome())
                 .addKeyValue("detail", result.detail())
                 .addKeyValue("events", progress == null ? 0 : progress.forwardedEvents())
+                .addKeyValue("begun", endedSend.answering())
+                .addKeyValue("sendEvents", endedSend.eventsSeen())
+                .addKeyValue("promptParts", routed.loggedPromptParts())
                 .log();
         excluded.add(endedSend.target().target().id());
         ForwardRoute route = routed.route();
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RoutedRequest.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RoutedRequest.java
@@ -5,6 +5,7 @@
 import io.masticfold.core.time.Deadline;
 import io.masticfold.gateway.http.CallerRequest;
 import io.masticfold.gateway.protocol.CallerMetadata;
+import java.util.stream.Collectors;
 
 /**
  * Holds a request together with the decisions made when it was routed.
@@ -30,4 +31,13 @@
         PromptPrefix prompt,
         Deadline deadline,
         Deadline firstAnswerDeadline,
-        long configVersion) {}
+        long configVersion) {
+
+    /** Largest number of prompt parts in a log line. */
+    private static final int MAX_LOGGED_PARTS = 8;
+
+    /** Returns the ids of the parts of the prompt that other prompts may share, as far as a log line holds them. */
+    String loggedPromptParts() {
+        return metadata.sharedPartIds().stream().limit(MAX_LOGGED_PARTS).collect(Collectors.joining(","));
+    }
+}
