--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -17,6 +17,8 @@
 import io.masticfold.gateway.peer.PeerLinks;
 import io.masticfold.gateway.protocol.GatewayAddress;
 import io.masticfold.gateway.protocol.PlatformProtocol;
+import io.masticfold.gateway.quarantine.PromptQuarantine;
+import io.masticfold.gateway.quarantine.QuarantineStore;
 import io.masticfold.gateway.request.ForwardHandler;
 import io.masticfold.gateway.request.TargetPools;
 import io.masticfold.gateway.settings.GatewaySettings;
@@ -68,6 +70,8 @@
     private final PlatformWatcher platformWatcher;
     private final PauseRecovery pauseRecovery;
     private final PeerStateExchange peerStateExchange;
+    private final PromptQuarantine quarantine;
+    private final QuarantineStore quarantineStore;
     private final StageDispatcher stageDispatcher;
     private final StageAdmissionQueue admissionQueue;
     private final ForwardHandler forwardHandler;
@@ -100,6 +104,8 @@
         GatewayContext context =
                 new GatewayContext(this.settings, protocol, client, scheduler, pauseGuard, view, log, telemetry);
         this.peerStateExchange = new PeerStateExchange(platformWatcher, scheduler, log);
+        this.quarantine = new PromptQuarantine(scheduler, log, telemetry);
+        this.quarantineStore = new QuarantineStore(store, protocol.store(), scheduler, log);
         this.stageDispatcher = new StageDispatcher(context, _name -> retryBudget());
         this.admissionQueue = new StageAdmissionQueue(context);
         this.peers = new PeerLinks(
@@ -108,9 +114,9 @@
                 settings.node(),
                 view::gateways,
                 settings.seeds(),
-                new PeerDispatcher(stageDispatcher, peerStateExchange, platformWatcher));
+                new PeerDispatcher(stageDispatcher, peerStateExchange, platformWatcher, quarantine));
         this.forwardHandler = new ForwardHandler(
-                context, stageDispatcher, admissionQueue, new TargetPools(context, _name -> retryBudget()));
+                context, stageDispatcher, admissionQueue, new TargetPools(context, _name -> retryBudget()), quarantine);
         this.front = new HttpServer(group, time, this::limits, forwardHandler, reason -> {
             telemetry.count("bad_request_" + reason.code());
             log.important(GatewayEvent.BAD_REQUEST)
@@ -132,6 +138,8 @@
         meters.gauge("masticfold.requests.waiting", admissionQueue::waiting);
         meters.gauge("masticfold.callers.connections", front::connections);
         meters.gauge("masticfold.connections.opened", client::opened);
+        meters.gauge(
+                "masticfold.prompt.parts.quarantined", () -> quarantine.parts().size());
         meters.gauge("masticfold.store.reachable", () -> platformWatcher.storeReachable() ? 1 : 0);
         meters.gauge("masticfold.configuration.version", () -> Optional.ofNullable(view.config())
                 .map(ForwardConfig::version)
@@ -176,6 +184,7 @@
             stageDispatcher.start(peers, platformWatcher::addTo);
             platformWatcher.shareReads(peers::reachable);
             peerStateExchange.start(peers);
+            quarantine.start(peers, quarantineStore);
             registration.register();
             closeExpiredConnections();
             log.important(GatewayEvent.STARTED)
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/PeerDispatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/PeerDispatcher.java
@@ -3,27 +3,35 @@
 import io.masticfold.gateway.peer.PeerCaller;
 import io.masticfold.gateway.peer.PeerListener;
 import io.masticfold.gateway.peer.proto.PeerFrame;
+import io.masticfold.gateway.quarantine.PromptQuarantine;
 import io.masticfold.gateway.stage.StageDispatcher;
 import io.masticfold.gateway.store.PeerStateExchange;
 import io.masticfold.gateway.store.PlatformWatcher;
 
-/** Dispatches peer frames to stage scheduling, to the exchange of store objects and to the sharing of reads. */
+/** Dispatches peer frames to stage scheduling, the exchange of store objects, shared reads and the quarantine. */
 final class PeerDispatcher implements PeerListener {
 
     private final StageDispatcher stageDispatcher;
     private final PeerStateExchange peerStateExchange;
     private final PlatformWatcher platformWatcher;
+    private final PromptQuarantine quarantine;
 
     PeerDispatcher(
-            StageDispatcher stageDispatcher, PeerStateExchange peerStateExchange, PlatformWatcher platformWatcher) {
+            StageDispatcher stageDispatcher,
+            PeerStateExchange peerStateExchange,
+            PlatformWatcher platformWatcher,
+            PromptQuarantine quarantine) {
         this.stageDispatcher = stageDispatcher;
         this.peerStateExchange = peerStateExchange;
         this.platformWatcher = platformWatcher;
+        this.quarantine = quarantine;
     }
 
     @Override
     public void responseReceived(String peer, PeerFrame frame) {
-        if (frame.hasKnowledge()) {
+        if (frame.hasPoisonEvidence()) {
+            quarantine.handle(peer, frame.getPoisonEvidence());
+        } else if (frame.hasKnowledge()) {
             peerStateExchange.handleResponse(peer, frame.getKnowledge());
         } else {
             if (frame.hasStatus()) {
@@ -42,7 +50,9 @@
 
     @Override
     public void requestReceived(PeerCaller caller, PeerFrame frame) {
-        if (frame.hasKnowledgeRequest()) {
+        if (frame.hasHello()) {
+            quarantine.greet(caller);
+        } else if (frame.hasKnowledgeRequest()) {
             peerStateExchange.handleRequest(caller, frame.getKnowledgeRequest());
         } else {
             stageDispatcher.handleRequest(caller, frame);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ExchangeFailure.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ExchangeFailure.java
@@ -4,6 +4,10 @@
 public enum ExchangeFailure {
     /** No connection could be opened; no byte of the request was sent. */
     NOT_SENT,
-    /** The connection broke or the response was malformed after the request was sent. */
+    /** The server closed or reset the connection after the request was sent. */
+    CLOSED,
+    /** The server closed a reused connection before it responded, possibly while the connection was idle. */
+    STALE,
+    /** The response was malformed, or the connection failed otherwise, after the request was sent. */
     BROKEN
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
+import java.net.SocketException;
 import org.jspecify.annotations.Nullable;
 
 /** Carries exchanges over a connection to a server, one at a time. Used on its event loop only. */
@@ -190,15 +191,24 @@
     @Override
     public void channelInactive(ChannelHandlerContext _context) {
         owner.removeIdle(this);
-        fail(sent ? ExchangeFailure.BROKEN : ExchangeFailure.NOT_SENT, "connection closed by the server");
+        fail(closedByServer(), "connection closed by the server");
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        fail(sent ? ExchangeFailure.BROKEN : ExchangeFailure.NOT_SENT, "connection failed: " + cause);
+        // A reset is a SocketException; a time-out of the connection is another IOException.
+        ExchangeFailure failure = cause instanceof SocketException ? closedByServer() : ExchangeFailure.BROKEN;
+        fail(sent ? failure : ExchangeFailure.NOT_SENT, "connection failed: " + cause);
         context.close();
     }
 
+    private ExchangeFailure closedByServer() {
+        if (!sent) {
+            return ExchangeFailure.NOT_SENT;
+        }
+        return headSeen || exchanges == 1 ? ExchangeFailure.CLOSED : ExchangeFailure.STALE;
+    }
+
     private void fail(ExchangeFailure failure, String detail) {
         ExchangeListener receiver = listener;
         listener = null;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
@@ -39,7 +39,12 @@
     TASK_FAILED(6034, Level.ERROR, "a task of the event loop failed because of an internal error"),
     CONNECTION_FAILED(6035, Level.ERROR, "a caller's connection failed because of an internal error"),
     STORE_RESTORED(6036, Level.WARN, "the object store was restored from a copy; what it lacks is kept for a while"),
-    PROCESS_PAUSED(6037, Level.WARN, "this process was paused; decisions wait until the object store was read again");
+    PROCESS_PAUSED(6037, Level.WARN, "this process was paused; decisions wait until the object store was read again"),
+    PROMPT_PART_ACCUSED(6038, Level.INFO, "a target ended while it began an answer on a prompt part"),
+    PROMPT_PART_QUARANTINED(
+            6039, Level.WARN, "a prompt part crashes targets; requests with it are refused from now on"),
+    PROMPT_PART_CLEARED(6040, Level.INFO, "a prompt part is no longer suspected or quarantined"),
+    QUARANTINE_UNREADABLE(6041, Level.ERROR, "the quarantined prompt parts in the object store cannot be decoded");
 
     private final EventDefinition definition;
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerFrame.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerFrame.java
@@ -63,6 +63,7 @@
     KNOWLEDGE_REQUEST(7),
     KNOWLEDGE(8),
     INPUTS_READ(9),
+    POISON_EVIDENCE(10),
     MESSAGE_NOT_SET(0);
     private final int value;
     private MessageCase(int value) {
@@ -89,6 +90,7 @@
         case 7: return KNOWLEDGE_REQUEST;
         case 8: return KNOWLEDGE;
         case 9: return INPUTS_READ;
+        case 10: return POISON_EVIDENCE;
         case 0: return MESSAGE_NOT_SET;
         default: return null;
       }
@@ -383,6 +385,37 @@
     return io.masticfold.gateway.peer.proto.InputsRead.getDefaultInstance();
   }
 
+  public static final int POISON_EVIDENCE_FIELD_NUMBER = 10;
+  /**
+   * <code>.masticfold.gateway.PoisonEvidence poison_evidence = 10;</code>
+   * @return Whether the poisonEvidence field is set.
+   */
+  @java.lang.Override
+  public boolean hasPoisonEvidence() {
+    return messageCase_ == 10;
+  }
+  /**
+   * <code>.masticfold.gateway.PoisonEvidence poison_evidence = 10;</code>
+   * @return The poisonEvidence.
+   */
+  @java.lang.Override
+  public io.masticfold.gateway.peer.proto.PoisonEvidence getPoisonEvidence() {
+    if (messageCase_ == 10) {
+       return (io.masticfold.gateway.peer.proto.PoisonEvidence) message_;
+    }
+    return io.masticfold.gateway.peer.proto.PoisonEvidence.getDefaultInstance();
+  }
+  /**
+   * <code>.masticfold.gateway.PoisonEvidence poison_evidence = 10;</code>
+   */
+  @java.lang.Override
+  public io.masticfold.gateway.peer.proto.PoisonEvidenceOrBuilder getPoisonEvidenceOrBuilder() {
+    if (messageCase_ == 10) {
+       return (io.masticfold.gateway.peer.proto.PoisonEvidence) message_;
+    }
+    return io.masticfold.gateway.peer.proto.PoisonEvidence.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -424,6 +457,9 @@
     if (messageCase_ == 9) {
       output.writeMessage(9, (io.masticfold.gateway.peer.proto.InputsRead) message_);
     }
+    if (messageCase_ == 10) {
+      output.writeMessage(10, (io.masticfold.gateway.peer.proto.PoisonEvidence) message_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -464,6 +500,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(9, (io.masticfold.gateway.peer.proto.InputsRead) message_);
     }
+    if (messageCase_ == 10) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(10, (io.masticfold.gateway.peer.proto.PoisonEvidence) message_);
+    }
     return size;
   }
   @java.lang.Override
@@ -526,6 +566,10 @@
         if (!getInputsRead()
             .equals(other.getInputsRead())) return false;
         break;
+      case 10:
+        if (!getPoisonEvidence()
+            .equals(other.getPoisonEvidence())) return false;
+        break;
       case 0:
       default:
     }
@@ -577,6 +621,10 @@
         hash = (37 * hash) + INPUTS_READ_FIELD_NUMBER;
         hash = (53 * hash) + getInputsRead().hashCode();
         break;
+      case 10:
+        hash = (37 * hash) + POISON_EVIDENCE_FIELD_NUMBER;
+        hash = (53 * hash) + getPoisonEvidence().hashCode();
+        break;
       case 0:
       default:
     }
@@ -738,6 +786,9 @@
       if (inputsReadBuilder_ != null) {
         inputsReadBuilder_.clear();
       }
+      if (poisonEvidenceBuilder_ != null) {
+        poisonEvidenceBuilder_.clear();
+      }
       messageCase_ = 0;
       message_ = null;
       return this;
@@ -815,6 +866,10 @@
           inputsReadBuilder_ != null) {
         result.message_ = inputsReadBuilder_.build();
       }
+      if (messageCase_ == 10 &&
+          poisonEvidenceBuilder_ != null) {
+        result.message_ = poisonEvidenceBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -866,6 +921,10 @@
           mergeInputsRead(other.getInputsRead());
           break;
         }
+        case POISON_EVIDENCE: {
+          mergePoisonEvidence(other.getPoisonEvidence());
+          break;
+        }
         case MESSAGE_NOT_SET: {
           break;
         }
@@ -957,6 +1016,13 @@
               messageCase_ = 9;
               break;
             } // case 74
+            case 82: {
+              input.readMessage(
+                  internalGetPoisonEvidenceFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              messageCase_ = 10;
+              break;
+            } // case 82
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2249,6 +2315,146 @@
       return inputsReadBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        io.masticfold.gateway.peer.proto.PoisonEvidence, io.masticfold.gateway.peer.proto.PoisonEvidence.Builder, io.masticfold.gateway.peer.proto.PoisonEvidenceOrBuilder> poisonEvidenceBuilder_;
+    /**
+     * <code>.masticfold.gateway.PoisonEvidence poison_evidence = 10;</code>
+     * @return Whether the poisonEvidence field is set.
+     */
+    @java.lang.Override
+    public boolean hasPoisonEvidence() {
+      return messageCase_ == 10;
+    }
+    /**
+     * <code>.masticfold.gateway.PoisonEvidence poison_evidence = 10;</code>
+     * @return The poisonEvidence.
+     */
+    @java.lang.Override
+    public io.masticfold.gateway.peer.proto.PoisonEvidence getPoisonEvidence() {
+      if (poisonEvidenceBuilder_ == null) {
+        if (messageCase_ == 10) {
+          return (io.masticfold.gateway.peer.proto.PoisonEvidence) message_;
+        }
+        return io.masticfold.gateway.peer.proto.PoisonEvidence.getDefaultInstance();
+      } else {
+        if (messageCase_ == 10) {
+          return poisonEvidenceBuilder_.getMessage();
+        }
+        return io.masticfold.gateway.peer.proto.PoisonEvidence.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.masticfold.gateway.PoisonEvidence poison_evidence = 10;</code>
+     */
+    public Builder setPoisonEvidence(io.masticfold.gateway.peer.proto.PoisonEvidence value) {
+      if (poisonEvidenceBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        message_ = value;
+        onChanged();
+      } else {
+        poisonEvidenceBuilder_.setMessage(value);
+      }
+      messageCase_ = 10;
+      return this;
+    }
+    /**
+     * <code>.masticfold.gateway.PoisonEvidence poison_evidence = 10;</code>
+     */
+    public Builder setPoisonEvidence(
+        io.masticfold.gateway.peer.proto.PoisonEvidence.Builder builderForValue) {
+      if (poisonEvidenceBuilder_ == null) {
+        message_ = builderForValue.build();
+        onChanged();
+      } else {
+        poisonEvidenceBuilder_.setMessage(builderForValue.build());
+      }
+      messageCase_ = 10;
+      return this;
+    }
+    /**
+     * <code>.masticfold.gateway.PoisonEvidence poison_evidence = 10;</code>
+     */
+    public Builder mergePoisonEvidence(io.masticfold.gateway.peer.proto.PoisonEvidence value) {
+      if (poisonEvidenceBuilder_ == null) {
+        if (messageCase_ == 10 &&
+            message_ != io.masticfold.gateway.peer.proto.PoisonEvidence.getDefaultInstance()) {
+          message_ = io.masticfold.gateway.peer.proto.PoisonEvidence.newBuilder((io.masticfold.gateway.peer.proto.PoisonEvidence) message_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          message_ = value;
+        }
+        onChanged();
+      } else {
+        if (messageCase_ == 10) {
+          poisonEvidenceBuilder_.mergeFrom(value);
+        } else {
+          poisonEvidenceBuilder_.setMessage(value);
+        }
+      }
+      messageCase_ = 10;
+      return this;
+    }
+    /**
+     * <code>.masticfold.gateway.PoisonEvidence poison_evidence = 10;</code>
+     */
+    public Builder clearPoisonEvidence() {
+      if (poisonEvidenceBuilder_ == null) {
+        if (messageCase_ == 10) {
+          messageCase_ = 0;
+          message_ = null;
+          onChanged();
+        }
+      } else {
+        if (messageCase_ == 10) {
+          messageCase_ = 0;
+          message_ = null;
+        }
+        poisonEvidenceBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.masticfold.gateway.PoisonEvidence poison_evidence = 10;</code>
+     */
+    public io.masticfold.gateway.peer.proto.PoisonEvidence.Builder getPoisonEvidenceBuilder() {
+      return internalGetPoisonEvidenceFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.masticfold.gateway.PoisonEvidence poison_evidence = 10;</code>
+     */
+    @java.lang.Override
+    public io.masticfold.gateway.peer.proto.PoisonEvidenceOrBuilder getPoisonEvidenceOrBuilder() {
+      if ((messageCase_ == 10) && (poisonEvidenceBuilder_ != null)) {
+        return poisonEvidenceBuilder_.getMessageOrBuilder();
+      } else {
+        if (messageCase_ == 10) {
+          return (io.masticfold.gateway.peer.proto.PoisonEvidence) message_;
+        }
+        return io.masticfold.gateway.peer.proto.PoisonEvidence.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.masticfold.gateway.PoisonEvidence poison_evidence = 10;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.masticfold.gateway.peer.proto.PoisonEvidence, io.masticfold.gateway.peer.proto.PoisonEvidence.Builder, io.masticfold.gateway.peer.proto.PoisonEvidenceOrBuilder> 
+        internalGetPoisonEvidenceFieldBuilder() {
+      if (poisonEvidenceBuilder_ == null) {
+        if (!(messageCase_ == 10)) {
+          message_ = io.masticfold.gateway.peer.proto.PoisonEvidence.getDefaultInstance();
+        }
+        poisonEvidenceBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.masticfold.gateway.peer.proto.PoisonEvidence, io.masticfold.gateway.peer.proto.PoisonEvidence.Builder, io.masticfold.gateway.peer.proto.PoisonEvidenceOrBuilder>(
+                (io.masticfold.gateway.peer.proto.PoisonEvidence) message_,
+                getParentForChildren(),
+                isClean());
+        message_ = null;
+      }
+      messageCase_ = 10;
+      onChanged();
+      return poisonEvidenceBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:masticfold.gateway.PeerFrame)
   }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerFrameOrBuilder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerFrameOrBuilder.java
@@ -145,5 +145,20 @@
    */
   io.masticfold.gateway.peer.proto.InputsReadOrBuilder getInputsReadOrBuilder();
 
+  /**
+   * <code>.masticfold.gateway.PoisonEvidence poison_evidence = 10;</code>
+   * @return Whether the poisonEvidence field is set.
+   */
+  boolean hasPoisonEvidence();
+  /**
+   * <code>.masticfold.gateway.PoisonEvidence poison_evidence = 10;</code>
+   * @return The poisonEvidence.
+   */
+  io.masticfold.gateway.peer.proto.PoisonEvidence getPoisonEvidence();
+  /**
+   * <code>.masticfold.gateway.PoisonEvidence poison_evidence = 10;</code>
+   */
+  io.masticfold.gateway.peer.proto.PoisonEvidenceOrBuilder getPoisonEvidenceOrBuilder();
+
   io.masticfold.gateway.peer.proto.PeerFrame.MessageCase getMessageCase();
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StoreDialect.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StoreDialect.java
@@ -24,6 +24,12 @@
     /** Returns the path under which objects of a kind are created. */
     String createUri(StoreKind kind);
 
+    /** Returns the path of one object. */
+    String objectUri(StoreKind kind, String name);
+
+    /** Encodes an object that names a prompt part that crashes targets. */
+    byte[] encodeQuarantinedPart(String part);
+
     /** Encodes an object that describes this gateway. */
     byte[] encodeGateway(String name, GatewayAddress gateway);
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StoreKind.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StoreKind.java
@@ -1,6 +1,6 @@
 package io.masticfold.gateway.protocol;
 
-/** Kinds of objects that the gateway reads from the store. */
+/** Kinds of objects that the gateway uses in the store. */
 public enum StoreKind {
     /** Configuration written by operators. */
     CONFIGURATION,
@@ -9,5 +9,7 @@
     /** Availability zones that operators have taken out of service. */
     ZONES_OUT,
     /** Entries that gateways write about themselves. */
-    GATEWAYS
+    GATEWAYS,
+    /** Prompt parts that crash targets. */
+    QUARANTINED_PARTS
 }
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/quarantine/package-info.java
@@ -0,0 +1,5 @@
+/** Holds requests back whose prompts crash targets, and shares the evidence with peers and the store. */
+@NullMarked
+package io.masticfold.gateway.quarantine;
+
+import org.jspecify.annotations.NullMarked;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
@@ -16,6 +16,7 @@
 import io.masticfold.gateway.log.GatewayEvent;
 import io.masticfold.gateway.protocol.CallerMetadata;
 import io.masticfold.gateway.protocol.PromptPart;
+import io.masticfold.gateway.quarantine.PromptQuarantine;
 import io.masticfold.gateway.stage.StageAdmissionQueue;
 import io.masticfold.gateway.stage.StageDispatcher;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -45,13 +46,19 @@
 
     /** Creates the handler. */
     public ForwardHandler(
-            GatewayContext context, StageDispatcher stages, StageAdmissionQueue gate, TargetPools targets) {
+            GatewayContext context,
+            StageDispatcher stages,
+            StageAdmissionQueue gate,
+            TargetPools targets,
+            PromptQuarantine quarantine) {
         this.context = context;
         this.services = new RequestServices(
                 stages,
                 gate,
                 targets,
-                new TargetRequestBuilder(context.protocol().headers()));
+                new TargetRequestBuilder(context.protocol().headers()),
+                quarantine);
+        quarantine.addListener(part -> List.copyOf(active).forEach(run -> run.partQuarantined(part)));
     }
 
     @Override
@@ -109,6 +116,15 @@
         if (metadata.deadlineMillis() == 0) {
             return refuse(request, metadata, response, ErrorKind.DEADLINE_EXPIRED, "deadline has passed");
         }
+        Optional<String> quarantined = services.quarantine().find(metadata.sharedPartIds());
+        if (quarantined.isPresent()) {
+            return refuse(
+                    request,
+                    metadata,
+                    response,
+                    ErrorKind.QUARANTINED,
+                    "prompt part " + quarantined.get() + " is quarantined");
+        }
         RequestRun run = new RequestRun(
                 context,
                 services,
@@ -185,8 +201,9 @@
 
     private CallerListener refuse(
             CallerRequest request, CallerMetadata metadata, CallerResponse response, ErrorKind kind, String detail) {
+        Duration wait = kind == ErrorKind.QUARANTINED ? RequestRun.QUARANTINE_RETRY_AFTER : Duration.ZERO;
         new FinalResponse(context, response)
-                .refuse(kind, Ran.NO, Duration.ofMillis(Math.max(0, metadata.deadlineMillis())), Duration.ZERO);
+                .refuse(kind, Ran.NO, Duration.ofMillis(Math.max(0, metadata.deadlineMillis())), wait);
         context.log()
                 .important(GatewayEvent.REQUEST_REFUSED)
                 .addKeyValue("request", metadata.attemptId())
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -3,7 +3,6 @@
 import io.masticfold.core.error.ErrorKind;
 import io.masticfold.core.error.Ran;
 import io.masticfold.core.forward.ForwardConfig;
-import io.masticfold.core.forward.ForwardRoute;
 import io.masticfold.core.forward.PoolSpec;
 import io.masticfold.core.forward.ResendPolicy;
 import io.masticfold.core.forward.SendOutcome;
@@ -39,6 +38,12 @@
      */
     private static final Duration ASSUMED_RESULT_READ_TIME = Duration.ofMillis(100);
 
+    /** Delay told to the caller of a request with a quarantined prompt part. */
+    static final Duration QUARANTINE_RETRY_AFTER = Duration.ofSeconds(30);
+
+    /** Event of a send whose arrival shows that the answer goes on after it has begun. */
+    private static final int EVENT_OF_A_BEGUN_ANSWER = 2;
+
     private final GatewayContext context;
     private final RequestServices services;
     private final RoutedRequest routed;
@@ -50,6 +55,7 @@
     private final StreamWatchdog watchdog;
     private final Set<String> excluded = new HashSet<>();
     private final Deadline deadline;
+    private final List<String> sharedParts;
     private Cancellable timer = Cancellable.NONE;
     private @Nullable TargetResponseReceiver send;
     private List<String> inputs = List.of();
@@ -72,6 +78,7 @@
         this.response = new FinalResponse(context, callerResponse);
         this.progress = routed.route().kind().streaming() ? new StreamProgress(callerResponse) : null;
         this.deadline = routed.deadline();
+        this.sharedParts = routed.metadata().sharedPartIds();
         this.stages = new RequestStages(services, routed);
         this.watchdog = new StreamWatchdog(context.scheduler(), routed.route().eventPatience(), this::stalled);
     }
@@ -132,6 +139,11 @@
     }
 
     private void chooseTarget() {
+        Optional<String> quarantined = services.quarantine().find(sharedParts);
+        if (quarantined.isPresent()) {
+            failQuarantined(quarantined.get());
+            return;
+        }
         ForwardConfig config = context.view().config();
         Optional<PoolSpec> spec = config == null ? Optional.empty() : config.pool(routed.pool());
         if (spec.isEmpty()) {
@@ -204,8 +216,15 @@
         return deadline.remaining(context.scheduler());
     }
 
-    /** Called for each event forwarded to the caller; at the first one the target has read all stage results. */
-    void eventForwarded(StreamEvent event) {
+    /**
+     * Called for each event forwarded to the caller; at the first one the target has read all stage results.
+     *
+     * @param numberInSend number of the event among those of the current send, from 1
+     */
+    void eventForwarded(StreamEvent event, int numberInSend) {
+        if (numberInSend == EVENT_OF_A_BEGUN_ANSWER) {
+            services.quarantine().recordBegun(sharedParts);
+        }
         if (event.carriesContent()) {
             watchdog.progressed();
         }
@@ -251,6 +270,7 @@
             possibleExecutions++;
         }
         if (result.outcome() == SendOutcome.ANSWERED) {
+            services.quarantine().recordBegun(sharedParts);
             succeed(result);
             return;
         }
@@ -266,15 +286,13 @@
                 .addKeyValue("promptParts", routed.loggedPromptParts())
                 .log();
         excluded.add(endedSend.target().target().id());
-        ForwardRoute route = routed.route();
-        boolean resend = ResendPolicy.permitResend(
-                route,
-                result.outcome(),
-                sends,
-                possibleExecutions,
-                remaining(),
-                services.targets().pool(routed.pool()).budget());
-        if (resend) {
+        if (result.brokenOff() && endedSend.eventsSeen() < EVENT_OF_A_BEGUN_ANSWER) {
+            services.quarantine().recordBrokenOff(endedSend.target().target(), sharedParts);
+        }
+        if (ended) {
+            return;
+        }
+        if (permitResend(result)) {
             context.telemetry().retried(result.outcome().failure());
             sendAgain(result);
         } else {
@@ -282,6 +300,19 @@
         }
     }
 
+    private boolean permitResend(SendResult result) {
+        if (result.brokenOff() && !services.quarantine().allowsAnotherTarget(sharedParts)) {
+            return false;
+        }
+        return ResendPolicy.permitResend(
+                routed.route(),
+                result.outcome(),
+                sends,
+                possibleExecutions,
+                remaining(),
+                services.targets().pool(routed.pool()).budget());
+    }
+
     private void sendAgain(SendResult result) {
         boolean stagesRead = recorder.hasFirstEvent() || result.outcome() == SendOutcome.INPUT_GONE;
         if (stagesRead && stages.hasRun()) {
@@ -324,11 +355,7 @@
         if (ended) {
             return;
         }
-        TargetResponseReceiver active = send;
-        if (active != null) {
-            ran = ran.or(Ran.UNKNOWN);
-            active.cancel();
-        }
+        cancelSend();
         if (progress != null && progress.started()) {
             abort(ErrorKind.STAGE_TIMEOUT, "deadline of the request has passed");
         } else {
@@ -365,6 +392,28 @@
         onEnd.accept(this);
     }
 
+    /** Ends the request if its prompt has the part, unless its answer has begun. */
+    void partQuarantined(String part) {
+        if (ended || !sharedParts.contains(part) || (progress != null && progress.started())) {
+            return;
+        }
+        cancelSend();
+        failQuarantined(part);
+    }
+
+    private void failQuarantined(String part) {
+        fail(ErrorKind.QUARANTINED, "prompt part " + part + " is quarantined", QUARANTINE_RETRY_AFTER);
+    }
+
+    /** Closes the connection of the send in progress, if any, which may have run. */
+    private void cancelSend() {
+        TargetResponseReceiver active = send;
+        if (active != null) {
+            ran = ran.or(Ran.UNKNOWN);
+            active.cancel();
+        }
+    }
+
     /** Refuses the request unless a send to a target is in progress. */
     void refuseUnsent() {
         if (!ended && send == null) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestServices.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestServices.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway.request;
 
+import io.masticfold.gateway.quarantine.PromptQuarantine;
 import io.masticfold.gateway.stage.StageAdmissionQueue;
 import io.masticfold.gateway.stage.StageDispatcher;
 
@@ -10,6 +11,11 @@
  * @param gate admits requests to their stages
  * @param targets pools of targets
  * @param requestBuilder builds the requests sent to targets
+ * @param quarantine knows the prompt parts that crash targets
  */
 record RequestServices(
-        StageDispatcher stages, StageAdmissionQueue gate, TargetPools targets, TargetRequestBuilder requestBuilder) {}
+        StageDispatcher stages,
+        StageAdmissionQueue gate,
+        TargetPools targets,
+        TargetRequestBuilder requestBuilder,
+        PromptQuarantine quarantine) {}
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/SendResult.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/SendResult.java
@@ -9,10 +9,15 @@
  * @param outcome outcome of the send
  * @param detail description for the log
  * @param response response of the target that can be forwarded; null if there is none
+ * @param brokenOff whether the target closed the connection before the response was complete
  */
-record SendResult(SendOutcome outcome, String detail, @Nullable TargetResponse response) {
+record SendResult(SendOutcome outcome, String detail, @Nullable TargetResponse response, boolean brokenOff) {
 
     static SendResult of(SendOutcome outcome, String detail) {
-        return new SendResult(outcome, detail, null);
+        return new SendResult(outcome, detail, null, false);
+    }
+
+    static SendResult brokenOff(String detail) {
+        return new SendResult(SendOutcome.UNKNOWN, detail, null, true);
     }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
@@ -145,7 +145,7 @@
                     abort("event " + event.id() + " does not follow " + stream.lastEventId());
                     return;
                 }
-                run.eventForwarded(event);
+                run.eventForwarded(event, eventsSeen);
             }
         } catch (IllegalStateException e) {
             abort(String.valueOf(e.getMessage()));
@@ -190,7 +190,7 @@
     private void endStream(HttpResponse head) {
         if (splitter.hasIncompleteEvent()) {
             recordOutcome(SendOutcome.UNKNOWN);
-            run.sendEnded(this, SendResult.of(SendOutcome.UNKNOWN, "stream ended within an event"));
+            run.sendEnded(this, SendResult.brokenOff("stream ended within an event"));
             return;
         }
         StreamProgress stream = progress;
@@ -219,7 +219,7 @@
                     SendOutcome.UNKNOWN, "status " + status + " without a valid seal or for another request");
         }
         SendOutcome outcome = complete.success() ? SendOutcome.ANSWERED : SendOutcome.FAILED;
-        return new SendResult(outcome, "status " + status, complete);
+        return new SendResult(outcome, "status " + status, complete, false);
     }
 
     private boolean authentic(HttpHeaders headers) {
@@ -237,7 +237,9 @@
         }
         SendOutcome outcome = failure == ExchangeFailure.NOT_SENT ? SendOutcome.NOT_SENT : SendOutcome.UNKNOWN;
         recordOutcome(outcome);
-        run.sendEnded(this, SendResult.of(outcome, detail));
+        run.sendEnded(
+                this,
+                failure == ExchangeFailure.CLOSED ? SendResult.brokenOff(detail) : SendResult.of(outcome, detail));
     }
 
     private void abort(String detail) {
