--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -11,6 +11,7 @@
 import io.masticfold.gateway.http.EventLoopScheduler;
 import io.masticfold.gateway.http.HttpClient;
 import io.masticfold.gateway.http.HttpServer;
+import io.masticfold.gateway.limit.TargetRateLimits;
 import io.masticfold.gateway.log.GatewayEvent;
 import io.masticfold.gateway.log.GatewayMetrics;
 import io.masticfold.gateway.log.RateLimitedLog;
@@ -71,6 +72,7 @@
     private final PauseRecovery pauseRecovery;
     private final PeerStateExchange peerStateExchange;
     private final PromptQuarantine quarantine;
+    private final TargetRateLimits limits;
     private final QuarantineStore quarantineStore;
     private final StageDispatcher stageDispatcher;
     private final StageAdmissionQueue admissionQueue;
@@ -105,6 +107,7 @@
                 new GatewayContext(this.settings, protocol, client, scheduler, pauseGuard, view, log, telemetry);
         this.peerStateExchange = new PeerStateExchange(platformWatcher, scheduler, log);
         this.quarantine = new PromptQuarantine(scheduler, log, telemetry);
+        this.limits = new TargetRateLimits(scheduler, view, log, telemetry, settings.node());
         this.quarantineStore = new QuarantineStore(store, protocol.store(), scheduler, log);
         this.stageDispatcher = new StageDispatcher(context, _name -> retryBudget());
         this.admissionQueue = new StageAdmissionQueue(context);
@@ -114,9 +117,14 @@
                 settings.node(),
                 view::gateways,
                 settings.seeds(),
-                new PeerDispatcher(stageDispatcher, peerStateExchange, platformWatcher, quarantine));
+                new PeerDispatcher(stageDispatcher, peerStateExchange, platformWatcher, quarantine, limits));
         this.forwardHandler = new ForwardHandler(
-                context, stageDispatcher, admissionQueue, new TargetPools(context, _name -> retryBudget()), quarantine);
+                context,
+                stageDispatcher,
+                admissionQueue,
+                new TargetPools(context, limits, _name -> retryBudget()),
+                quarantine,
+                limits);
         this.front = new HttpServer(group, time, this::limits, forwardHandler, reason -> {
             telemetry.count("bad_request_" + reason.code());
             log.important(GatewayEvent.BAD_REQUEST)
@@ -140,6 +148,7 @@
         meters.gauge("masticfold.connections.opened", client::opened);
         meters.gauge(
                 "masticfold.prompt.parts.quarantined", () -> quarantine.parts().size());
+        meters.gauge("masticfold.targets.limited", limits::limitedTargets);
         meters.gauge("masticfold.store.reachable", () -> platformWatcher.storeReachable() ? 1 : 0);
         meters.gauge("masticfold.configuration.version", () -> Optional.ofNullable(view.config())
                 .map(ForwardConfig::version)
@@ -185,6 +194,7 @@
             platformWatcher.shareReads(peers::reachable);
             peerStateExchange.start(peers);
             quarantine.start(peers, quarantineStore);
+            limits.start(peers);
             registration.register();
             closeExpiredConnections();
             log.important(GatewayEvent.STARTED)
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/PeerDispatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/PeerDispatcher.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway;
 
+import io.masticfold.gateway.limit.TargetRateLimits;
 import io.masticfold.gateway.peer.PeerCaller;
 import io.masticfold.gateway.peer.PeerListener;
 import io.masticfold.gateway.peer.proto.PeerFrame;
@@ -8,29 +9,34 @@
 import io.masticfold.gateway.store.PeerStateExchange;
 import io.masticfold.gateway.store.PlatformWatcher;
 
-/** Dispatches peer frames to stage scheduling, the exchange of store objects, shared reads and the quarantine. */
+/** Dispatches peer frames to the parts of the gateway that exchange them. */
 final class PeerDispatcher implements PeerListener {
 
     private final StageDispatcher stageDispatcher;
     private final PeerStateExchange peerStateExchange;
     private final PlatformWatcher platformWatcher;
     private final PromptQuarantine quarantine;
+    private final TargetRateLimits limits;
 
     PeerDispatcher(
             StageDispatcher stageDispatcher,
             PeerStateExchange peerStateExchange,
             PlatformWatcher platformWatcher,
-            PromptQuarantine quarantine) {
+            PromptQuarantine quarantine,
+            TargetRateLimits limits) {
         this.stageDispatcher = stageDispatcher;
         this.peerStateExchange = peerStateExchange;
         this.platformWatcher = platformWatcher;
         this.quarantine = quarantine;
+        this.limits = limits;
     }
 
     @Override
     public void responseReceived(String peer, PeerFrame frame) {
         if (frame.hasPoisonEvidence()) {
             quarantine.handle(peer, frame.getPoisonEvidence());
+        } else if (frame.hasNamedLimits()) {
+            limits.handle(peer, frame.getNamedLimits());
         } else if (frame.hasKnowledge()) {
             peerStateExchange.handleResponse(peer, frame.getKnowledge());
         } else {
@@ -52,6 +58,7 @@
     public void requestReceived(PeerCaller caller, PeerFrame frame) {
         if (frame.hasHello()) {
             quarantine.greet(caller);
+            limits.greet(caller);
         } else if (frame.hasKnowledgeRequest()) {
             peerStateExchange.handleRequest(caller, frame.getKnowledgeRequest());
         } else {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
@@ -44,7 +44,9 @@
     PROMPT_PART_QUARANTINED(
             6039, Level.WARN, "a prompt part crashes targets; requests with it are refused from now on"),
     PROMPT_PART_CLEARED(6040, Level.INFO, "a prompt part is no longer suspected or quarantined"),
-    QUARANTINE_UNREADABLE(6041, Level.ERROR, "the quarantined prompt parts in the object store cannot be decoded");
+    QUARANTINE_UNREADABLE(6041, Level.ERROR, "the quarantined prompt parts in the object store cannot be decoded"),
+    TARGET_LIMIT_NAMED(6042, Level.WARN, "a target names a limit on the requests that it takes from all gateways"),
+    TARGET_LIMIT_LIFTED(6043, Level.INFO, "a target names no limit any more");
 
     private final EventDefinition definition;
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerFrame.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerFrame.java
@@ -64,6 +64,7 @@
     KNOWLEDGE(8),
     INPUTS_READ(9),
     POISON_EVIDENCE(10),
+    NAMED_LIMITS(11),
     MESSAGE_NOT_SET(0);
     private final int value;
     private MessageCase(int value) {
@@ -91,6 +92,7 @@
         case 8: return KNOWLEDGE;
         case 9: return INPUTS_READ;
         case 10: return POISON_EVIDENCE;
+        case 11: return NAMED_LIMITS;
         case 0: return MESSAGE_NOT_SET;
         default: return null;
       }
@@ -416,6 +418,37 @@
     return io.masticfold.gateway.peer.proto.PoisonEvidence.getDefaultInstance();
   }
 
+  public static final int NAMED_LIMITS_FIELD_NUMBER = 11;
+  /**
+   * <code>.masticfold.gateway.NamedLimits named_limits = 11;</code>
+   * @return Whether the namedLimits field is set.
+   */
+  @java.lang.Override
+  public boolean hasNamedLimits() {
+    return messageCase_ == 11;
+  }
+  /**
+   * <code>.masticfold.gateway.NamedLimits named_limits = 11;</code>
+   * @return The namedLimits.
+   */
+  @java.lang.Override
+  public io.masticfold.gateway.peer.proto.NamedLimits getNamedLimits() {
+    if (messageCase_ == 11) {
+       return (io.masticfold.gateway.peer.proto.NamedLimits) message_;
+    }
+    return io.masticfold.gateway.peer.proto.NamedLimits.getDefaultInstance();
+  }
+  /**
+   * <code>.masticfold.gateway.NamedLimits named_limits = 11;</code>
+   */
+  @java.lang.Override
+  public io.masticfold.gateway.peer.proto.NamedLimitsOrBuilder getNamedLimitsOrBuilder() {
+    if (messageCase_ == 11) {
+       return (io.masticfold.gateway.peer.proto.NamedLimits) message_;
+    }
+    return io.masticfold.gateway.peer.proto.NamedLimits.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -460,6 +493,9 @@
     if (messageCase_ == 10) {
       output.writeMessage(10, (io.masticfold.gateway.peer.proto.PoisonEvidence) message_);
     }
+    if (messageCase_ == 11) {
+      output.writeMessage(11, (io.masticfold.gateway.peer.proto.NamedLimits) message_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -504,6 +540,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(10, (io.masticfold.gateway.peer.proto.PoisonEvidence) message_);
     }
+    if (messageCase_ == 11) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(11, (io.masticfold.gateway.peer.proto.NamedLimits) message_);
+    }
     return size;
   }
   @java.lang.Override
@@ -570,6 +610,10 @@
         if (!getPoisonEvidence()
             .equals(other.getPoisonEvidence())) return false;
         break;
+      case 11:
+        if (!getNamedLimits()
+            .equals(other.getNamedLimits())) return false;
+        break;
       case 0:
       default:
     }
@@ -625,6 +669,10 @@
         hash = (37 * hash) + POISON_EVIDENCE_FIELD_NUMBER;
         hash = (53 * hash) + getPoisonEvidence().hashCode();
         break;
+      case 11:
+        hash = (37 * hash) + NAMED_LIMITS_FIELD_NUMBER;
+        hash = (53 * hash) + getNamedLimits().hashCode();
+        break;
       case 0:
       default:
     }
@@ -789,6 +837,9 @@
       if (poisonEvidenceBuilder_ != null) {
         poisonEvidenceBuilder_.clear();
       }
+      if (namedLimitsBuilder_ != null) {
+        namedLimitsBuilder_.clear();
+      }
       messageCase_ = 0;
       message_ = null;
       return this;
@@ -870,6 +921,10 @@
           poisonEvidenceBuilder_ != null) {
         result.message_ = poisonEvidenceBuilder_.build();
       }
+      if (messageCase_ == 11 &&
+          namedLimitsBuilder_ != null) {
+        result.message_ = namedLimitsBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -925,6 +980,10 @@
           mergePoisonEvidence(other.getPoisonEvidence());
           break;
         }
+        case NAMED_LIMITS: {
+          mergeNamedLimits(other.getNamedLimits());
+          break;
+        }
         case MESSAGE_NOT_SET: {
           break;
         }
@@ -1023,6 +1082,13 @@
               messageCase_ = 10;
               break;
             } // case 82
+            case 90: {
+              input.readMessage(
+                  internalGetNamedLimitsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              messageCase_ = 11;
+              break;
+            } // case 90
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2455,6 +2521,146 @@
       return poisonEvidenceBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        io.masticfold.gateway.peer.proto.NamedLimits, io.masticfold.gateway.peer.proto.NamedLimits.Builder, io.masticfold.gateway.peer.proto.NamedLimitsOrBuilder> namedLimitsBuilder_;
+    /**
+     * <code>.masticfold.gateway.NamedLimits named_limits = 11;</code>
+     * @return Whether the namedLimits field is set.
+     */
+    @java.lang.Override
+    public boolean hasNamedLimits() {
+      return messageCase_ == 11;
+    }
+    /**
+     * <code>.masticfold.gateway.NamedLimits named_limits = 11;</code>
+     * @return The namedLimits.
+     */
+    @java.lang.Override
+    public io.masticfold.gateway.peer.proto.NamedLimits getNamedLimits() {
+      if (namedLimitsBuilder_ == null) {
+        if (messageCase_ == 11) {
+          return (io.masticfold.gateway.peer.proto.NamedLimits) message_;
+        }
+        return io.masticfold.gateway.peer.proto.NamedLimits.getDefaultInstance();
+      } else {
+        if (messageCase_ == 11) {
+          return namedLimitsBuilder_.getMessage();
+        }
+        return io.masticfold.gateway.peer.proto.NamedLimits.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.masticfold.gateway.NamedLimits named_limits = 11;</code>
+     */
+    public Builder setNamedLimits(io.masticfold.gateway.peer.proto.NamedLimits value) {
+      if (namedLimitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        message_ = value;
+        onChanged();
+      } else {
+        namedLimitsBuilder_.setMessage(value);
+      }
+      messageCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.masticfold.gateway.NamedLimits named_limits = 11;</code>
+     */
+    public Builder setNamedLimits(
+        io.masticfold.gateway.peer.proto.NamedLimits.Builder builderForValue) {
+      if (namedLimitsBuilder_ == null) {
+        message_ = builderForValue.build();
+        onChanged();
+      } else {
+        namedLimitsBuilder_.setMessage(builderForValue.build());
+      }
+      messageCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.masticfold.gateway.NamedLimits named_limits = 11;</code>
+     */
+    public Builder mergeNamedLimits(io.masticfold.gateway.peer.proto.NamedLimits value) {
+      if (namedLimitsBuilder_ == null) {
+        if (messageCase_ == 11 &&
+            message_ != io.masticfold.gateway.peer.proto.NamedLimits.getDefaultInstance()) {
+          message_ = io.masticfold.gateway.peer.proto.NamedLimits.newBuilder((io.masticfold.gateway.peer.proto.NamedLimits) message_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          message_ = value;
+        }
+        onChanged();
+      } else {
+        if (messageCase_ == 11) {
+          namedLimitsBuilder_.mergeFrom(value);
+        } else {
+          namedLimitsBuilder_.setMessage(value);
+        }
+      }
+      messageCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.masticfold.gateway.NamedLimits named_limits = 11;</code>
+     */
+    public Builder clearNamedLimits() {
+      if (namedLimitsBuilder_ == null) {
+        if (messageCase_ == 11) {
+          messageCase_ = 0;
+          message_ = null;
+          onChanged();
+        }
+      } else {
+        if (messageCase_ == 11) {
+          messageCase_ = 0;
+          message_ = null;
+        }
+        namedLimitsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.masticfold.gateway.NamedLimits named_limits = 11;</code>
+     */
+    public io.masticfold.gateway.peer.proto.NamedLimits.Builder getNamedLimitsBuilder() {
+      return internalGetNamedLimitsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.masticfold.gateway.NamedLimits named_limits = 11;</code>
+     */
+    @java.lang.Override
+    public io.masticfold.gateway.peer.proto.NamedLimitsOrBuilder getNamedLimitsOrBuilder() {
+      if ((messageCase_ == 11) && (namedLimitsBuilder_ != null)) {
+        return namedLimitsBuilder_.getMessageOrBuilder();
+      } else {
+        if (messageCase_ == 11) {
+          return (io.masticfold.gateway.peer.proto.NamedLimits) message_;
+        }
+        return io.masticfold.gateway.peer.proto.NamedLimits.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.masticfold.gateway.NamedLimits named_limits = 11;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.masticfold.gateway.peer.proto.NamedLimits, io.masticfold.gateway.peer.proto.NamedLimits.Builder, io.masticfold.gateway.peer.proto.NamedLimitsOrBuilder> 
+        internalGetNamedLimitsFieldBuilder() {
+      if (namedLimitsBuilder_ == null) {
+        if (!(messageCase_ == 11)) {
+          message_ = io.masticfold.gateway.peer.proto.NamedLimits.getDefaultInstance();
+        }
+        namedLimitsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.masticfold.gateway.peer.proto.NamedLimits, io.masticfold.gateway.peer.proto.NamedLimits.Builder, io.masticfold.gateway.peer.proto.NamedLimitsOrBuilder>(
+                (io.masticfold.gateway.peer.proto.NamedLimits) message_,
+                getParentForChildren(),
+                isClean());
+        message_ = null;
+      }
+      messageCase_ = 11;
+      onChanged();
+      return namedLimitsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:masticfold.gateway.PeerFrame)
   }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerFrameOrBuilder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerFrameOrBuilder.java
@@ -160,5 +160,20 @@
    */
   io.masticfold.gateway.peer.proto.PoisonEvidenceOrBuilder getPoisonEvidenceOrBuilder();
 
+  /**
+   * <code>.masticfold.gateway.NamedLimits named_limits = 11;</code>
+   * @return Whether the namedLimits field is set.
+   */
+  boolean hasNamedLimits();
+  /**
+   * <code>.masticfold.gateway.NamedLimits named_limits = 11;</code>
+   * @return The namedLimits.
+   */
+  io.masticfold.gateway.peer.proto.NamedLimits getNamedLimits();
+  /**
+   * <code>.masticfold.gateway.NamedLimits named_limits = 11;</code>
+   */
+  io.masticfold.gateway.peer.proto.NamedLimitsOrBuilder getNamedLimitsOrBuilder();
+
   io.masticfold.gateway.peer.proto.PeerFrame.MessageCase getMessageCase();
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
@@ -13,6 +13,7 @@
 import io.masticfold.gateway.http.CallerRequest;
 import io.masticfold.gateway.http.CallerResponse;
 import io.masticfold.gateway.http.RequestHandler;
+import io.masticfold.gateway.limit.TargetRateLimits;
 import io.masticfold.gateway.log.GatewayEvent;
 import io.masticfold.gateway.protocol.CallerMetadata;
 import io.masticfold.gateway.protocol.PromptPart;
@@ -50,14 +51,16 @@
             StageDispatcher stages,
             StageAdmissionQueue gate,
             TargetPools targets,
-            PromptQuarantine quarantine) {
+            PromptQuarantine quarantine,
+            TargetRateLimits limits) {
         this.context = context;
         this.services = new RequestServices(
                 stages,
                 gate,
                 targets,
                 new TargetRequestBuilder(context.protocol().headers()),
-                quarantine);
+                quarantine,
+                limits);
         quarantine.addListener(part -> List.copyOf(active).forEach(run -> run.partQuarantined(part)));
     }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -18,6 +18,7 @@
 import io.masticfold.gateway.protocol.PieceOutcome;
 import io.masticfold.gateway.stage.StageRefusal;
 import io.masticfold.gateway.stage.StageRunListener;
+import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
@@ -158,7 +159,13 @@
                 excluded,
                 context.view().sharingGateways());
         if (choice.isEmpty()) {
-            fail(ErrorKind.NO_TARGET, "no usable target in pool " + routed.pool());
+            pool.waitForLimit(excluded)
+                    .ifPresentOrElse(
+                            wait -> fail(
+                                    ErrorKind.TARGET_LIMITED,
+                                    "targets in pool " + routed.pool() + " are limited",
+                                    wait),
+                            () -> fail(ErrorKind.NO_TARGET, "no usable target in pool " + routed.pool()));
             return;
         }
         send(pool, choice.get());
@@ -250,6 +257,11 @@
         }
     }
 
+    /** Called when the head of the target's own response has arrived. */
+    void responseBegun(TargetTracker target, HttpHeaders headers) {
+        services.limits().recordAnswer(target.target(), context.protocol().decodeLimit(headers));
+    }
+
     void targetFailed(TargetTracker target, boolean nowSuspect) {
         if (nowSuspect) {
             context.log()
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestServices.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestServices.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway.request;
 
+import io.masticfold.gateway.limit.TargetRateLimits;
 import io.masticfold.gateway.quarantine.PromptQuarantine;
 import io.masticfold.gateway.stage.StageAdmissionQueue;
 import io.masticfold.gateway.stage.StageDispatcher;
@@ -12,10 +13,12 @@
  * @param targets pools of targets
  * @param requestBuilder builds the requests sent to targets
  * @param quarantine knows the prompt parts that crash targets
+ * @param limits knows the rate limits that targets name
  */
 record RequestServices(
         StageDispatcher stages,
         StageAdmissionQueue gate,
         TargetPools targets,
         TargetRequestBuilder requestBuilder,
-        PromptQuarantine quarantine) {}
+        PromptQuarantine quarantine,
+        TargetRateLimits limits) {}
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetPool.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetPool.java
@@ -8,6 +8,9 @@
 import io.masticfold.core.placement.TargetLoadView;
 import io.masticfold.core.retry.RetryBudget;
 import io.masticfold.gateway.context.GatewayContext;
+import io.masticfold.gateway.limit.TargetRateLimits;
+import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,12 +22,14 @@
 final class TargetPool {
 
     private final GatewayContext context;
+    private final TargetRateLimits limits;
     private final String name;
     private final RetryBudget budget;
     private final Map<String, TargetTracker> states = new HashMap<>();
 
-    TargetPool(GatewayContext context, String name, RetryBudget budget) {
+    TargetPool(GatewayContext context, TargetRateLimits limits, String name, RetryBudget budget) {
         this.context = context;
+        this.limits = limits;
         this.name = name;
         this.budget = budget;
     }
@@ -34,7 +39,7 @@
     }
 
     /**
-     * Selects a target.
+     * Selects a target to which a request is sent now, among those whose bounds allow one more.
      *
      * @param spec configuration of the pool
      * @param prompt shared prefix of the request's prompt
@@ -50,6 +55,7 @@
                 .filter(target -> !excluded.contains(target.id()))
                 .map(target -> state(target, now))
                 .filter(state -> withinColdLimit(spec, state, gateways, now))
+                .filter(state -> limits.waitTime(state.target()).isZero())
                 .map(state -> state.view(
                         state.target().zone().equals(context.settings().zone()), now))
                 .toList();
@@ -61,9 +67,24 @@
         Optional<TargetLoadView> choice = spec.engine() == null
                 ? LeastLoadedPlacement.choose(candidates)
                 : EnginePlacement.choose(candidates, prompt, resultBytes);
+        choice.ifPresent(view -> limits.recordSend(view.target()));
         return choice.map(view -> states.get(view.target().id()));
     }
 
+    /**
+     * Returns the time until a target may be sent a request that only its rate limit keeps from it; empty if there is
+     * none.
+     *
+     * @param excluded ids of targets that must not be used
+     */
+    Optional<Duration> waitForLimit(Set<String> excluded) {
+        return context.view().directory().usable(name).stream()
+                .filter(target -> !excluded.contains(target.id()))
+                .map(limits::waitTime)
+                .filter(wait -> !wait.isZero())
+                .min(Comparator.naturalOrder());
+    }
+
     /** Returns the availability zone of the target expected to cache the prompt's shared prefix; null if unknown. */
     @Nullable
     String preferredZone(PromptPrefix prompt) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
@@ -102,6 +102,9 @@
         context.protocol()
                 .decodeLoad(head.headers())
                 .ifPresent(load -> target.reported(load, context.scheduler().nanoTime()));
+        if (ownResponse(head.headers())) {
+            run.responseBegun(target, head.headers());
+        }
         if (progress != null && head.status().code() == HttpResponseStatus.OK.code()) {
             if (!authentic(head.headers())) {
                 abort("response without a valid seal or for another request");
@@ -206,10 +209,9 @@
         HttpHeaders headers = head.headers();
         int status = head.status().code();
         TargetResponse complete = new TargetResponse(status, headers, body.toByteArray());
-        boolean ownResponse = echoesAttemptId(headers) || (firstOnConnection && !headers.contains(names.attemptId()));
         boolean declined =
                 headers.contains(names.notExecuted()) || status == HttpResponseStatus.MISDIRECTED_REQUEST.code();
-        if (declined && ownResponse) {
+        if (declined && ownResponse(headers)) {
             SendOutcome outcome =
                     status == HttpResponseStatus.CONFLICT.code() ? SendOutcome.INPUT_GONE : SendOutcome.NOT_RUN;
             return SendResult.of(outcome, "status " + status);
@@ -222,6 +224,12 @@
         return new SendResult(outcome, "status " + status, complete, false);
     }
 
+    private boolean ownResponse(HttpHeaders headers) {
+        return echoesAttemptId(headers)
+                || (firstOnConnection
+                        && !headers.contains(context.protocol().headers().attemptId()));
+    }
+
     private boolean authentic(HttpHeaders headers) {
         return headers.contains(context.protocol().headers().seal()) && echoesAttemptId(headers);
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServer.java
@@ -197,6 +197,7 @@
             return failed.detail();
         }
         CallResult.Answered answered = (CallResult.Answered) result;
+        context.protocol().decodeLimit(answered.headers()).ifPresent(serverState::pauseForLimit);
         if (answered.status() == HttpResponseStatus.OK.code()) {
             try {
                 List<PieceOutcome> outcomes = context.protocol().stages().decodeRun(answered.body(), batch.size());
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerState.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerState.java
@@ -34,6 +34,11 @@
 
     private static final double NANOS_PER_MILLI = 1e6;
 
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    /** Smallest limit that is kept, so that a server that names zero is called again now and then. */
+    private static final double MIN_CALLS_PER_SECOND = 0.1;
+
     private final TimeSource time;
     private final Map<String, StoredResult> results = new HashMap<>();
     private final Set<String> evictableHandles = new LinkedHashSet<>();
@@ -46,11 +51,13 @@
     private long callStartedNanos;
     private double callExpectedMillis;
     private long pausedUntilNanos;
+    private long limitedUntilNanos;
     private double slowdown = 1;
 
     StageServerState(TimeSource time) {
         this.time = time;
         this.pausedUntilNanos = time.nanoTime();
+        this.limitedUntilNanos = pausedUntilNanos;
     }
 
     double slowdown() {
@@ -72,6 +79,16 @@
         callExpectedMillis = expectedMillis;
     }
 
+    /**
+     * Delays the next call so that the server gets no more calls than it takes. Only the owner of the server calls it.
+     *
+     * @param callsPerSecond limit that the server names
+     */
+    void pauseForLimit(double callsPerSecond) {
+        limitedUntilNanos =
+                callStartedNanos + (long) (NANOS_PER_SECOND / Math.max(MIN_CALLS_PER_SECOND, callsPerSecond));
+    }
+
     /** Records that no call is in progress, so that the next one may start. */
     void callEnded() {
         callExpectedMillis = 0;
@@ -105,7 +122,8 @@
     }
 
     double remainingPauseMillis() {
-        return Math.max(0, (pausedUntilNanos - time.nanoTime()) / NANOS_PER_MILLI);
+        long now = time.nanoTime();
+        return Math.max(0, Math.max(pausedUntilNanos - now, limitedUntilNanos - now) / NANOS_PER_MILLI);
     }
 
     long freeBytes(long total) {
