Treat a stream without framing that ends before its first event as broken off

Callers would see an empty stream as a success. A stream that ends within an event was recognised already. Change: a response without length and chunks that brought no event, for a request that had none before, is broken off: unknown, resumed where the route allows it, and evidence for the quarantine of prompt parts. Test: streamThatEndsBeforeItsFirstEventAppearsComplete failed before (200, now 502); the other four cases of UnframedStreamTests passed before and after. Not covered: an unframed stream that breaks off between two events cannot be told from a whole one.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import java.time.Duration;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
@@ -191,12 +192,14 @@
     }
 
     private void endStream(HttpResponse head) {
-        if (splitter.hasIncompleteEvent()) {
+        StreamProgress stream = progress;
+        // Without a length or chunks, a stream that was broken off before its first event ends like a whole one.
+        boolean empty = !framed(head) && eventsSeen == 0 && stream != null && stream.forwardedEvents() == 0;
+        if (splitter.hasIncompleteEvent() || empty) {
             recordOutcome(SendOutcome.UNKNOWN);
-            run.sendEnded(this, SendResult.brokenOff("stream ended within an event"));
+            run.sendEnded(this, SendResult.brokenOff("stream ended before or within an event"));
             return;
         }
-        StreamProgress stream = progress;
         if (stream != null) {
             stream.start(head.status().code(), head.headers());
         }
@@ -204,6 +207,10 @@
         run.sendEnded(this, SendResult.of(SendOutcome.ANSWERED, "complete"));
     }
 
+    private static boolean framed(HttpResponse head) {
+        return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+    }
+
     private SendResult classify(HttpResponse head) {
         HeaderNames names = context.protocol().headers();
         HttpHeaders headers = head.headers();
