Do not give a request up because four targets refuse connections

Cause: the largest number of sends counted those of which no byte left the process. Where several targets have just ended, their entries stand for seconds more, and all four sends go to them. Change: sends that left no byte do not count. After four of them a request tries only targets that have not failed recently, so that an outage of a whole pool does not make each request try every target. Test: requestIsRefusedBecauseManyTargetsAreUnreachable failed before (503, seven of eight targets gone) and passes; ResendPolicyTests has the new decision.

--- a/masticfold-core/src/main/java/io/masticfold/core/forward/ResendPolicy.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/forward/ResendPolicy.java
@@ -11,7 +11,7 @@
  */
 public final class ResendPolicy {
 
-    /** Largest number of sends of one request, including refused ones. */
+    /** Largest number of sends of one request, including refused ones, but not those that left no byte behind. */
     static final int MAX_SENDS = 4;
 
     /** Shortest time in which a target can answer; a resend with less time left would be useless. */
@@ -19,12 +19,23 @@
 
     private ResendPolicy() {}
 
+    /**
+     * Returns whether a target may be tried. After some targets could not be reached, only those are tried that have
+     * not failed recently, so that an outage of a whole pool does not make each request try every target.
+     *
+     * @param unsentSends number of targets of this request that could not be reached
+     * @param recentlyFailed whether the target failed recently
+     */
+    public static boolean permitTarget(int unsentSends, boolean recentlyFailed) {
+        return !recentlyFailed || unsentSends < MAX_SENDS;
+    }
+
     /**
      * Returns whether a request may be sent again, and charges the retry budget if it may.
      *
      * @param route route of the request
      * @param outcome outcome of the last send
-     * @param sends number of sends so far
+     * @param sends number of sends so far in which a byte may have left the process
      * @param runs number of sends so far that ran or may have run
      * @param remaining time left for the answer
      * @param budget retry budget to charge
--- a/masticfold-core/src/test/java/io/masticfold/core/forward/ResendPolicyTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/forward/ResendPolicyTests.java
@@ -35,6 +35,12 @@
                 false);
     }
 
+    @ParameterizedTest
+    @CsvSource({"0, true, true", "3, true, true", "4, true, false", "4, false, true", "40, false, true"})
+    void outageOfAPoolDoesNotMakeARequestTryEveryTarget(int unsentSends, boolean recentlyFailed, boolean permitted) {
+        assertThat(ResendPolicy.permitTarget(unsentSends, recentlyFailed)).isEqualTo(permitted);
+    }
+
     @ParameterizedTest
     @CsvSource({
         "SAFE, NOT_SENT, true",
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -61,6 +61,7 @@
     private @Nullable TargetResponseReceiver send;
     private List<String> inputs = List.of();
     private int sends;
+    private int unsentSends;
     private int possibleExecutions;
     private Ran ran = Ran.NO;
     private boolean ended;
@@ -168,6 +169,11 @@
                             () -> fail(ErrorKind.NO_TARGET, "no usable target in pool " + routed.pool()));
             return;
         }
+        if (!ResendPolicy.permitTarget(
+                unsentSends, choice.get().suspect(context.scheduler().nanoTime()))) {
+            fail(ErrorKind.TARGET_UNREACHABLE, "targets in pool " + routed.pool() + " cannot be reached");
+            return;
+        }
         send(pool, choice.get());
     }
 
@@ -281,6 +287,9 @@
         if (result.outcome().ran() != Ran.NO) {
             possibleExecutions++;
         }
+        if (result.outcome() == SendOutcome.NOT_SENT) {
+            unsentSends++;
+        }
         if (result.outcome() == SendOutcome.ANSWERED) {
             services.quarantine().recordBegun(sharedParts);
             succeed(result);
@@ -319,7 +328,7 @@
         return ResendPolicy.permitResend(
                 routed.route(),
                 result.outcome(),
-                sends,
+                sends - unsentSends,
                 possibleExecutions,
                 remaining(),
                 services.targets().pool(routed.pool()).budget());
