Move the record of a request's sends and their log lines out of RequestRun

SendHistory holds the number of sends, what they say about the execution and the targets that failed, and asks ResendPolicy; RequestRecorder writes the lines of a send. No behaviour changes: ForwardingTests, FailedRequestLogTests, UnframedStreamTests and StageTests pass.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRecorder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRecorder.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway.request;
 
+import io.masticfold.core.directory.TargetRecord;
 import io.masticfold.core.error.Ran;
 import io.masticfold.gateway.context.GatewayContext;
 import io.masticfold.gateway.log.GatewayEvent;
@@ -39,8 +40,36 @@
         stagesDoneMillis = sinceStart();
     }
 
-    void recordSent() {
+    /** Records that the request is sent to a target, and logs it. */
+    void recordSent(TargetRecord target, int send, Duration left) {
         sentMillis = sinceStart();
+        context.log()
+                .routine(GatewayEvent.REQUEST_SENT)
+                .addKeyValue("request", routed.metadata().attemptId())
+                .addKeyValue("target", target.id())
+                .addKeyValue("send", send)
+                .addKeyValue("leftMillis", left.toMillis())
+                .addKeyValue("promptParts", routed.loggedPromptParts())
+                .log();
+    }
+
+    /**
+     * Logs that a send has failed.
+     *
+     * @param events number of events that the caller has received from all sends
+     */
+    void recordSendFailed(TargetResponseReceiver send, SendResult result, int events) {
+        context.log()
+                .important(GatewayEvent.SEND_FAILED)
+                .addKeyValue("request", routed.metadata().attemptId())
+                .addKeyValue("target", send.target().target().id())
+                .addKeyValue("outcome", result.outcome())
+                .addKeyValue("detail", result.detail())
+                .addKeyValue("events", events)
+                .addKeyValue("begun", send.answering())
+                .addKeyValue("sendEvents", send.eventsSeen())
+                .addKeyValue("promptParts", routed.loggedPromptParts())
+                .log();
     }
 
     void recordFirstEvent() {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -4,7 +4,6 @@
 import io.masticfold.core.error.Ran;
 import io.masticfold.core.forward.ForwardConfig;
 import io.masticfold.core.forward.PoolSpec;
-import io.masticfold.core.forward.ResendPolicy;
 import io.masticfold.core.forward.SendOutcome;
 import io.masticfold.core.stream.StreamEvent;
 import io.masticfold.core.time.Cancellable;
@@ -20,10 +19,8 @@
 import io.masticfold.gateway.stage.StageRunListener;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
@@ -54,16 +51,12 @@
     private final FinalResponse response;
     private final @Nullable StreamProgress progress;
     private final StreamWatchdog watchdog;
-    private final Set<String> excluded = new HashSet<>();
+    private final SendHistory history = new SendHistory();
     private final Deadline deadline;
     private final List<String> sharedParts;
     private Cancellable timer = Cancellable.NONE;
     private @Nullable TargetResponseReceiver send;
     private List<String> inputs = List.of();
-    private int sends;
-    private int unsentSends;
-    private int possibleExecutions;
-    private Ran ran = Ran.NO;
     private boolean ended;
 
     RequestRun(
@@ -157,10 +150,10 @@
                 spec.get(),
                 routed.prompt(),
                 stages.resultBytesByZone(),
-                excluded,
+                history.failedTargets(),
                 context.view().sharingGateways());
         if (choice.isEmpty()) {
-            pool.waitForLimit(excluded)
+            pool.waitForLimit(history.failedTargets())
                     .ifPresentOrElse(
                             wait -> fail(
                                     ErrorKind.TARGET_LIMITED,
@@ -169,8 +162,7 @@
                             () -> fail(ErrorKind.NO_TARGET, "no usable target in pool " + routed.pool()));
             return;
         }
-        if (!ResendPolicy.permitTarget(
-                unsentSends, choice.get().suspect(context.scheduler().nanoTime()))) {
+        if (!history.permitTarget(choice.get(), context.scheduler().nanoTime())) {
             fail(ErrorKind.TARGET_UNREACHABLE, "targets in pool " + routed.pool() + " cannot be reached");
             return;
         }
@@ -178,11 +170,11 @@
     }
 
     private void send(TargetPool pool, TargetTracker target) {
-        if (sends == 0) {
+        if (history.sends() == 0) {
             pool.budget().deposit();
         }
-        sends++;
-        recorder.recordSent();
+        history.recordSend();
+        recorder.recordSent(target.target(), history.sends(), remaining());
         TargetResponseReceiver next = new TargetResponseReceiver(
                 context,
                 this,
@@ -205,14 +197,6 @@
         if (stages.hasRun()) {
             context.scheduler().schedule(ASSUMED_RESULT_READ_TIME, () -> inputsRead(next));
         }
-        context.log()
-                .routine(GatewayEvent.REQUEST_SENT)
-                .addKeyValue("request", routed.metadata().attemptId())
-                .addKeyValue("target", target.target().id())
-                .addKeyValue("send", sends)
-                .addKeyValue("leftMillis", remaining().toMillis())
-                .addKeyValue("promptParts", routed.loggedPromptParts())
-                .log();
     }
 
     private void inputsRead(TargetResponseReceiver current) {
@@ -283,30 +267,14 @@
             return;
         }
         send = null;
-        ran = ran.or(result.outcome().ran());
-        if (result.outcome().ran() != Ran.NO) {
-            possibleExecutions++;
-        }
-        if (result.outcome() == SendOutcome.NOT_SENT) {
-            unsentSends++;
-        }
+        history.recordOutcome(result.outcome());
         if (result.outcome() == SendOutcome.ANSWERED) {
             services.quarantine().recordBegun(sharedParts);
             succeed(result);
             return;
         }
-        context.log()
-                .important(GatewayEvent.SEND_FAILED)
-                .addKeyValue("request", routed.metadata().attemptId())
-                .addKeyValue("target", endedSend.target().target().id())
-                .addKeyValue("outcome", result.outcome())
-                .addKeyValue("detail", result.detail())
-                .addKeyValue("events", progress == null ? 0 : progress.forwardedEvents())
-                .addKeyValue("begun", endedSend.answering())
-                .addKeyValue("sendEvents", endedSend.eventsSeen())
-                .addKeyValue("promptParts", routed.loggedPromptParts())
-                .log();
-        excluded.add(endedSend.target().target().id());
+        recorder.recordSendFailed(endedSend, result, progress == null ? 0 : progress.forwardedEvents());
+        history.recordFailedTarget(endedSend.target().target().id());
         if (result.brokenOff() && endedSend.eventsSeen() < EVENT_OF_A_BEGUN_ANSWER) {
             services.quarantine().recordBrokenOff(endedSend.target().target(), sharedParts);
         }
@@ -325,11 +293,9 @@
         if (result.brokenOff() && !services.quarantine().allowsAnotherTarget(sharedParts)) {
             return false;
         }
-        return ResendPolicy.permitResend(
+        return history.permitResend(
                 routed.route(),
                 result.outcome(),
-                sends - unsentSends,
-                possibleExecutions,
                 remaining(),
                 services.targets().pool(routed.pool()).budget());
     }
@@ -380,7 +346,9 @@
         if (progress != null && progress.started()) {
             abort(ErrorKind.STAGE_TIMEOUT, "deadline of the request has passed");
         } else {
-            fail(ran == Ran.NO ? ErrorKind.OVERLOADED : ErrorKind.STAGE_TIMEOUT, "deadline of the request has passed");
+            fail(
+                    history.ran() == Ran.NO ? ErrorKind.OVERLOADED : ErrorKind.STAGE_TIMEOUT,
+                    "deadline of the request has passed");
         }
     }
 
@@ -401,8 +369,11 @@
             return;
         }
         end();
-        response.refuse(kind, ran, remaining(), estimatedWait);
-        recordEnd(ran == Ran.NO ? GatewayEvent.REQUEST_REFUSED : GatewayEvent.REQUEST_FAILED, kind.code(), detail);
+        response.refuse(kind, history.ran(), remaining(), estimatedWait);
+        recordEnd(
+                history.ran() == Ran.NO ? GatewayEvent.REQUEST_REFUSED : GatewayEvent.REQUEST_FAILED,
+                kind.code(),
+                detail);
     }
 
     private void end() {
@@ -430,7 +401,7 @@
     private void cancelSend() {
         TargetResponseReceiver active = send;
         if (active != null) {
-            ran = ran.or(Ran.UNKNOWN);
+            history.recordCancelled();
             active.cancel();
         }
     }
@@ -444,7 +415,13 @@
 
     private void recordEnd(GatewayEvent event, String outcome, String detail) {
         stages.recordTo(recorder);
-        recorder.recordEnd(event, outcome, ran, sends, progress == null ? 0 : progress.forwardedEvents(), detail);
+        recorder.recordEnd(
+                event,
+                outcome,
+                history.ran(),
+                history.sends(),
+                progress == null ? 0 : progress.forwardedEvents(),
+                detail);
     }
 
     @Override
