Tell callers that a request has not run if its connection was never opened

Callers saw 504, which promises nothing, for requests of which no byte had left the gateway, and could not repeat an unsafe one. Cause: a request that ends at its deadline with a send in progress was taken for one that may have run, also while the connection was still being opened. Change: cancelling an exchange says whether a byte may have left; if none has, the request has not run (503).

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
@@ -70,7 +70,7 @@
     }
 
     @Override
-    public void cancel() {
+    public boolean cancel() {
         cancelled = true;
         listener = null;
         releaseUnsent();
@@ -78,6 +78,7 @@
         if (open != null) {
             open.close();
         }
+        return sent;
     }
 
     @Override
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -397,12 +397,11 @@
         fail(ErrorKind.QUARANTINED, "prompt part " + part + " is quarantined", QUARANTINE_RETRY_AFTER);
     }
 
-    /** Closes the connection of the send in progress, if any, which may have run. */
+    /** Closes the connection of the send in progress, if any; if a byte has left, the request may have run. */
     private void cancelSend() {
         TargetResponseReceiver active = send;
-        if (active != null) {
+        if (active != null && active.cancel()) {
             history.recordCancelled();
-            active.cancel();
         }
     }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
@@ -88,12 +88,17 @@
         exchange.setAutoRead(enabled);
     }
 
-    /** Closes the connection, so that the target stops its work. */
-    void cancel() {
-        if (!ended) {
-            markEnded();
-            exchange.cancel();
+    /**
+     * Closes the connection, so that the target stops its work.
+     *
+     * @return whether a byte of the request may have left the process
+     */
+    boolean cancel() {
+        if (ended) {
+            return true;
         }
+        markEnded();
+        return exchange.cancel();
     }
 
     @Override
