Give the key of a target's incarnation one home

PromptQuarantine and TargetRateLimits built the same key of id and start time. No behaviour changes; PoisonRequestTests (targets that crash, gateways that start later) and LimitedTargetTests#limitIsKeptAfterTheTargetNamesItNoMore pass.

--- a/masticfold-core/src/main/java/io/masticfold/core/directory/TargetRecord.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/directory/TargetRecord.java
@@ -31,6 +31,11 @@
         }
     }
 
+    /** Returns the id together with the start time, which no other incarnation has. */
+    public String incarnation() {
+        return id + "@" + startMillis;
+    }
+
     /** Returns whether another record describes the same incarnation. */
     public boolean sameIncarnation(TargetRecord other) {
         return id.equals(other.id) && startMillis == other.startMillis && address.equals(other.address);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/limit/TargetRateLimits.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/limit/TargetRateLimits.java
@@ -63,7 +63,7 @@
      * @param named limit that it names, in requests per second; empty if it names none
      */
     public void recordAnswer(TargetRecord target, OptionalDouble named) {
-        String key = key(target);
+        String key = target.incarnation();
         TargetRateLimit known = limits.get(key);
         if (known == null && named.isEmpty()) {
             return;
@@ -80,14 +80,14 @@
 
     /** Returns the time until this gateway may send a request to the target; zero if it may send one now. */
     public Duration waitTime(TargetRecord target) {
-        String key = key(target);
+        String key = target.incarnation();
         TargetRateLimit limit = limits.get(key);
         return limit == null ? Duration.ZERO : limit.waitTime(share(key, limit));
     }
 
     /** Records that a request is sent to the target. */
     public void recordSend(TargetRecord target) {
-        TargetRateLimit limit = limits.get(key(target));
+        TargetRateLimit limit = limits.get(target.incarnation());
         if (limit != null) {
             limit.recordSend();
         }
@@ -147,15 +147,10 @@
     private boolean gone(String key) {
         return view.directory()
                 .find(key.substring(0, key.lastIndexOf('@')))
-                .filter(target -> key(target).equals(key))
+                .filter(target -> target.incarnation().equals(key))
                 .isEmpty();
     }
 
-    /** Identifies an incarnation of a target. */
-    private static String key(TargetRecord target) {
-        return target.id() + "@" + target.startMillis();
-    }
-
     private NamedLimit encode(String key, TargetRateLimit limit) {
         Duration age = Duration.ofNanos(scheduler.nanoTime() - limit.observedNanos());
         return NamedLimit.newBuilder()
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/quarantine/PromptQuarantine.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/quarantine/PromptQuarantine.java
@@ -92,7 +92,7 @@
         if (accused.isEmpty()) {
             return;
         }
-        TargetEnd end = new TargetEnd(target.id() + "@" + target.startMillis(), scheduler.nanoTime(), accused);
+        TargetEnd end = new TargetEnd(target.incarnation(), scheduler.nanoTime(), accused);
         Set<String> quarantined = detector.recordEnd(end);
         logAccused(end, "");
         broadcast(EvidenceCodec.encode(scheduler, List.of(end)).addAllQuarantined(quarantined));
