Decide in one place whether and where a request is sent next

TargetSelection asks in one order: quarantine, configuration, the bounds of the pool (excluded, cold, limit), reachability; it returns a target or a refusal with its kind and wait. No behaviour changes: PoisonRequestTests (targets that crash, stages), LimitedTargetTests, ForwardingTests, UnopenedConnectionTests and UnframedStreamTests pass.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -1,6 +1,5 @@
 package io.masticfold.gateway;
 
-import io.masticfold.core.forward.ForwardConfig;
 import io.masticfold.core.forward.RequestLimits;
 import io.masticfold.core.retry.RetryBudget;
 import io.masticfold.core.retry.SlidingWindowRetryBudget;
@@ -37,7 +36,6 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -125,7 +123,7 @@
                 new TargetPools(context, limits, _name -> retryBudget()),
                 quarantine,
                 limits);
-        this.front = new HttpServer(group, time, this::limits, forwardHandler, reason -> {
+        this.front = new HttpServer(group, time, view::requestLimits, forwardHandler, reason -> {
             telemetry.count("bad_request_" + reason.code());
             log.important(GatewayEvent.BAD_REQUEST)
                     .addKeyValue("reason", reason.code())
@@ -150,9 +148,7 @@
                 "masticfold.prompt.parts.quarantined", () -> quarantine.parts().size());
         meters.gauge("masticfold.targets.limited", limits::limitedTargets);
         meters.gauge("masticfold.store.reachable", () -> platformWatcher.storeReachable() ? 1 : 0);
-        meters.gauge("masticfold.configuration.version", () -> Optional.ofNullable(view.config())
-                .map(ForwardConfig::version)
-                .orElse(0L));
+        meters.gauge("masticfold.configuration.version", view::configVersion);
         return new HttpServer(
                 group,
                 time,
@@ -169,10 +165,6 @@
                 () -> settings.get().retryExtra() / view.sharingGateways());
     }
 
-    private RequestLimits limits() {
-        return Optional.ofNullable(view.config()).map(ForwardConfig::limits).orElse(RequestLimits.DEFAULT);
-    }
-
     /**
      * Opens the listening sockets and starts watching the store.
      *
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
@@ -204,7 +204,7 @@
 
     private CallerListener refuse(
             CallerRequest request, CallerMetadata metadata, CallerResponse response, ErrorKind kind, String detail) {
-        Duration wait = kind == ErrorKind.QUARANTINED ? RequestRun.QUARANTINE_RETRY_AFTER : Duration.ZERO;
+        Duration wait = kind == ErrorKind.QUARANTINED ? TargetSelection.QUARANTINE_RETRY_AFTER : Duration.ZERO;
         new FinalResponse(context, response)
                 .refuse(kind, Ran.NO, Duration.ofMillis(Math.max(0, metadata.deadlineMillis())), wait);
         context.log()
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -2,8 +2,6 @@
 
 import io.masticfold.core.error.ErrorKind;
 import io.masticfold.core.error.Ran;
-import io.masticfold.core.forward.ForwardConfig;
-import io.masticfold.core.forward.PoolSpec;
 import io.masticfold.core.forward.SendOutcome;
 import io.masticfold.core.stream.StreamEvent;
 import io.masticfold.core.time.Cancellable;
@@ -20,7 +18,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
@@ -36,9 +33,6 @@
      */
     private static final Duration ASSUMED_RESULT_READ_TIME = Duration.ofMillis(100);
 
-    /** Delay told to the caller of a request with a quarantined prompt part. */
-    static final Duration QUARANTINE_RETRY_AFTER = Duration.ofSeconds(30);
-
     /** Event of a send whose arrival shows that the answer goes on after it has begun. */
     private static final int EVENT_OF_A_BEGUN_ANSWER = 2;
 
@@ -54,6 +48,7 @@
     private final SendHistory history = new SendHistory();
     private final Deadline deadline;
     private final List<String> sharedParts;
+    private final TargetSelection selection;
     private Cancellable timer = Cancellable.NONE;
     private @Nullable TargetResponseReceiver send;
     private List<String> inputs = List.of();
@@ -73,6 +68,7 @@
         this.response = new FinalResponse(context, callerResponse);
         this.progress = routed.route().kind().streaming() ? new StreamProgress(callerResponse) : null;
         this.deadline = routed.deadline();
+        this.selection = new TargetSelection(context, services);
         this.sharedParts = routed.metadata().sharedPartIds();
         this.stages = new RequestStages(services, routed);
         this.watchdog = new StreamWatchdog(context.scheduler(), routed.route().eventPatience(), this::stalled);
@@ -134,39 +130,16 @@
     }
 
     private void chooseTarget() {
-        Optional<String> quarantined = services.quarantine().find(sharedParts);
-        if (quarantined.isPresent()) {
-            failQuarantined(quarantined.get());
-            return;
-        }
-        ForwardConfig config = context.view().config();
-        Optional<PoolSpec> spec = config == null ? Optional.empty() : config.pool(routed.pool());
-        if (spec.isEmpty()) {
-            fail(ErrorKind.NO_TARGET, "pool " + routed.pool() + " is not configured");
-            return;
-        }
-        TargetPool pool = services.targets().pool(routed.pool());
-        Optional<TargetTracker> choice = pool.choose(
-                spec.get(),
-                routed.prompt(),
-                stages.resultBytesByZone(),
-                history.failedTargets(),
-                context.view().sharingGateways());
-        if (choice.isEmpty()) {
-            pool.waitForLimit(history.failedTargets())
-                    .ifPresentOrElse(
-                            wait -> fail(
-                                    ErrorKind.TARGET_LIMITED,
-                                    "targets in pool " + routed.pool() + " are limited",
-                                    wait),
-                            () -> fail(ErrorKind.NO_TARGET, "no usable target in pool " + routed.pool()));
-            return;
-        }
-        if (!history.permitTarget(choice.get(), context.scheduler().nanoTime())) {
-            fail(ErrorKind.TARGET_UNREACHABLE, "targets in pool " + routed.pool() + " cannot be reached");
-            return;
+        TargetChoice choice = selection.choose(routed, history, stages.resultBytesByZone());
+        if (choice.target() == null) {
+            refuse(choice);
+        } else {
+            send(services.targets().pool(routed.pool()), choice.target());
         }
-        send(pool, choice.get());
+    }
+
+    private void refuse(TargetChoice choice) {
+        fail(choice.refusal(), choice.detail(), choice.estimatedWait());
     }
 
     private void send(TargetPool pool, TargetTracker target) {
@@ -390,11 +363,7 @@
             return;
         }
         cancelSend();
-        failQuarantined(part);
-    }
-
-    private void failQuarantined(String part) {
-        fail(ErrorKind.QUARANTINED, "prompt part " + part + " is quarantined", QUARANTINE_RETRY_AFTER);
+        refuse(TargetSelection.quarantined(part));
     }
 
     /** Closes the connection of the send in progress, if any; if a byte has left, the request may have run. */
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetSelection.java
@@ -0,0 +1,67 @@
+package io.masticfold.gateway.request;
+
+import io.masticfold.core.error.ErrorKind;
+import io.masticfold.core.forward.ForwardConfig;
+import io.masticfold.core.forward.PoolSpec;
+import io.masticfold.gateway.context.GatewayContext;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+
+/** Decides whether a request may be sent now and to which target, with all bounds in one order. */
+final class TargetSelection {
+
+    /** Delay told to the caller of a request with a quarantined prompt part. */
+    static final Duration QUARANTINE_RETRY_AFTER = Duration.ofSeconds(30);
+
+    private final GatewayContext context;
+    private final RequestServices services;
+
+    TargetSelection(GatewayContext context, RequestServices services) {
+        this.context = context;
+        this.services = services;
+    }
+
+    /**
+     * Chooses the target of the next send.
+     *
+     * @param history sends of the request so far
+     * @param resultBytes size of the stage results that the request reads, in bytes, by availability zone
+     */
+    TargetChoice choose(RoutedRequest routed, SendHistory history, Map<String, Long> resultBytes) {
+        Optional<String> quarantined =
+                services.quarantine().find(routed.metadata().sharedPartIds());
+        if (quarantined.isPresent()) {
+            return quarantined(quarantined.get());
+        }
+        ForwardConfig config = context.view().config();
+        Optional<PoolSpec> spec = config == null ? Optional.empty() : config.pool(routed.pool());
+        if (spec.isEmpty()) {
+            return TargetChoice.none(ErrorKind.NO_TARGET, "pool " + routed.pool() + " is not configured");
+        }
+        TargetPool pool = services.targets().pool(routed.pool());
+        Optional<TargetTracker> target = pool.choose(
+                spec.get(),
+                routed.prompt(),
+                resultBytes,
+                history.failedTargets(),
+                context.view().sharingGateways());
+        if (target.isEmpty()) {
+            return pool.waitForLimit(history.failedTargets())
+                    .map(wait -> TargetChoice.none(
+                            ErrorKind.TARGET_LIMITED, "targets in pool " + routed.pool() + " are limited", wait))
+                    .orElseGet(
+                            () -> TargetChoice.none(ErrorKind.NO_TARGET, "no usable target in pool " + routed.pool()));
+        }
+        return history.permitTarget(target.get(), context.scheduler().nanoTime())
+                ? TargetChoice.of(target.get())
+                : TargetChoice.none(
+                        ErrorKind.TARGET_UNREACHABLE, "targets in pool " + routed.pool() + " cannot be reached");
+    }
+
+    /** Returns the refusal of a request whose prompt has the part. */
+    static TargetChoice quarantined(String part) {
+        return TargetChoice.none(
+                ErrorKind.QUARANTINED, "prompt part " + part + " is quarantined", QUARANTINE_RETRY_AFTER);
+    }
+}
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformView.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformView.java
@@ -2,6 +2,7 @@
 
 import io.masticfold.core.directory.TargetDirectory;
 import io.masticfold.core.forward.ForwardConfig;
+import io.masticfold.core.forward.RequestLimits;
 import io.masticfold.gateway.protocol.GatewayAddress;
 import java.time.Duration;
 import java.util.List;
@@ -25,6 +26,18 @@
         return config.get();
     }
 
+    /** Returns the version of the active configuration; 0 before one has been read. */
+    public long configVersion() {
+        ForwardConfig active = config.get();
+        return active == null ? 0 : active.version();
+    }
+
+    /** Returns the limits on requests of callers. */
+    public RequestLimits requestLimits() {
+        ForwardConfig active = config.get();
+        return active == null ? RequestLimits.DEFAULT : active.limits();
+    }
+
     /** Records a time at which the store confirmed the configuration; earlier ones than the latest are ignored. */
     public void recordConfirmation(long nanos) {
         confirmedNanos.accumulateAndGet(nanos, (latest, next) -> next - latest > 0 ? next : latest);
