--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
@@ -6,6 +6,7 @@
 import io.masticfold.core.forward.ForwardRoute;
 import io.masticfold.core.forward.WorkspaceSpec;
 import io.masticfold.core.placement.PromptPrefix;
+import io.masticfold.core.quarantine.RequestFingerprint;
 import io.masticfold.core.routing.RendezvousHashing;
 import io.masticfold.core.time.Deadline;
 import io.masticfold.gateway.context.GatewayContext;
@@ -157,12 +158,16 @@
             ForwardRoute route,
             Optional<WorkspaceSpec> workspace) {
         long windowMillis = Math.min(metadata.deadlineMillis(), route.timeout().toMillis());
+        String workspaceName =
+                route.publicAccess() ? "" : workspace.map(WorkspaceSpec::name).orElse("");
         return new RoutedRequest(
                 request,
                 metadata,
                 route,
                 route.choosePool(ThreadLocalRandom.current().nextDouble()),
-                route.publicAccess() ? "" : workspace.map(WorkspaceSpec::name).orElse(""),
+                workspaceName,
+                RequestFingerprint.of(
+                        request.method().name(), host(request), request.uri(), workspaceName, request.body()),
                 priority(route, workspace),
                 route.cacheAffinity() ? promptKey(metadata) : PromptPrefix.UNKNOWN,
                 new Deadline(request.receivedNanos()
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRecorder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRecorder.java
@@ -49,6 +49,7 @@
                 .addKeyValue("target", target.id())
                 .addKeyValue("send", send)
                 .addKeyValue("leftMillis", left.toMillis())
+                .addKeyValue("fingerprint", routed.fingerprint())
                 .addKeyValue("promptParts", routed.loggedPromptParts())
                 .log();
     }
@@ -65,9 +66,11 @@
                 .addKeyValue("target", send.target().target().id())
                 .addKeyValue("outcome", result.outcome())
                 .addKeyValue("detail", result.detail())
+                .addKeyValue("exchange", result.failure() == null ? "RESPONDED" : result.failure())
                 .addKeyValue("events", events)
                 .addKeyValue("begun", send.answering())
                 .addKeyValue("sendEvents", send.eventsSeen())
+                .addKeyValue("fingerprint", routed.fingerprint())
                 .addKeyValue("promptParts", routed.loggedPromptParts())
                 .log();
     }
@@ -103,6 +106,7 @@
                 .addKeyValue("firstEventMillis", firstEventMillis)
                 .addKeyValue("totalMillis", sinceStart())
                 .addKeyValue("configVersion", routed.configVersion())
+                .addKeyValue("fingerprint", routed.fingerprint())
                 .addKeyValue("promptParts", routed.loggedPromptParts())
                 .log();
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RoutedRequest.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RoutedRequest.java
@@ -16,6 +16,7 @@
  * @param pool target pool that serves it
  * @param workspace workspace of the caller's API key; empty on open routes
  * @param priority priority among all requests; 0 is the most urgent
+ * @param fingerprint identifies the content of the request, over all attempts of its caller
  * @param prompt shared prefix of its prompt, for cache affinity
  * @param deadline time by which the response must be complete
  * @param firstAnswerDeadline time by which the response must have begun
@@ -27,6 +28,7 @@
         ForwardRoute route,
         String pool,
         String workspace,
+        String fingerprint,
         int priority,
         PromptPrefix prompt,
         Deadline deadline,
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
@@ -202,7 +202,7 @@
         boolean empty = !framed(head) && eventsSeen == 0 && stream != null && stream.forwardedEvents() == 0;
         if (splitter.hasIncompleteEvent() || empty) {
             recordOutcome(SendOutcome.UNKNOWN);
-            run.sendEnded(this, SendResult.brokenOff("stream ended before or within an event"));
+            run.sendEnded(this, SendResult.failed(ExchangeFailure.CLOSED, "stream ended before or within an event"));
             return;
         }
         if (stream != null) {
@@ -233,7 +233,7 @@
                     SendOutcome.UNKNOWN, "status " + status + " without a valid seal or for another request");
         }
         SendOutcome outcome = complete.success() ? SendOutcome.ANSWERED : SendOutcome.FAILED;
-        return new SendResult(outcome, "status " + status, complete, false);
+        return new SendResult(outcome, "status " + status, complete, null);
     }
 
     private boolean ownResponse(HttpHeaders headers) {
@@ -255,11 +255,9 @@
         if (ended) {
             return;
         }
-        SendOutcome outcome = failure == ExchangeFailure.NOT_SENT ? SendOutcome.NOT_SENT : SendOutcome.UNKNOWN;
-        recordOutcome(outcome);
-        run.sendEnded(
-                this,
-                failure == ExchangeFailure.CLOSED ? SendResult.brokenOff(detail) : SendResult.of(outcome, detail));
+        SendResult result = SendResult.failed(failure, detail);
+        recordOutcome(result.outcome());
+        run.sendEnded(this, result);
     }
 
     private void abort(String detail) {
