--- a/masticfold-core/src/test/java/io/masticfold/core/quarantine/PoisonDetectorTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/quarantine/PoisonDetectorTests.java
@@ -153,9 +153,9 @@
             detector.recordEnd(new TargetEnd("t" + i, time.nanoTime(), Set.of("e" + i)));
             detector.adoptQuarantine("q" + i);
         }
-        assertThat(detector.quarantined()).hasSize(PoisonDetector.MAX_QUARANTINED);
-        assertThat(detector.evidence()).hasSize(PoisonDetector.MAX_SUSPECTS);
-        assertThat(detector.cleared(Integer.MAX_VALUE)).hasSize(PoisonDetector.MAX_CLEARED);
+        assertThat(detector.quarantined()).hasSize(SuspectKind.PROMPT_PART.maxQuarantined());
+        assertThat(detector.evidence()).hasSize(SuspectKind.PROMPT_PART.maxSuspects());
+        assertThat(detector.cleared(Integer.MAX_VALUE)).hasSize(SuspectTable.MAX_CLEARED);
     }
 
     /** Eight targets that go down and up by turns, at random and in groups, while sound requests are served. */
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -1,6 +1,7 @@
 package io.masticfold.gateway;
 
 import io.masticfold.core.forward.RequestLimits;
+import io.masticfold.core.quarantine.SuspectKind;
 import io.masticfold.core.retry.RetryBudget;
 import io.masticfold.core.retry.SlidingWindowRetryBudget;
 import io.masticfold.core.time.PauseGuard;
@@ -17,7 +18,7 @@
 import io.masticfold.gateway.peer.PeerLinks;
 import io.masticfold.gateway.protocol.GatewayAddress;
 import io.masticfold.gateway.protocol.PlatformProtocol;
-import io.masticfold.gateway.quarantine.PromptQuarantine;
+import io.masticfold.gateway.quarantine.PoisonQuarantine;
 import io.masticfold.gateway.quarantine.QuarantineStore;
 import io.masticfold.gateway.request.ForwardHandler;
 import io.masticfold.gateway.request.TargetPools;
@@ -69,7 +70,7 @@
     private final PlatformWatcher platformWatcher;
     private final PauseRecovery pauseRecovery;
     private final PeerStateExchange peerStateExchange;
-    private final PromptQuarantine quarantine;
+    private final PoisonQuarantine quarantine;
     private final TargetRateLimits limits;
     private final QuarantineStore quarantineStore;
     private final StageDispatcher stageDispatcher;
@@ -104,7 +105,7 @@
         GatewayContext context =
                 new GatewayContext(this.settings, protocol, client, scheduler, pauseGuard, view, log, telemetry);
         this.peerStateExchange = new PeerStateExchange(platformWatcher, scheduler, log);
-        this.quarantine = new PromptQuarantine(scheduler, log, telemetry);
+        this.quarantine = new PoisonQuarantine(scheduler, log, telemetry);
         this.limits = new TargetRateLimits(scheduler, view, log, telemetry, settings.node());
         this.quarantineStore = new QuarantineStore(store, protocol.store(), scheduler, log);
         this.stageDispatcher = new StageDispatcher(context, _name -> retryBudget());
@@ -144,8 +145,8 @@
         meters.gauge("masticfold.requests.waiting", admissionQueue::waiting);
         meters.gauge("masticfold.callers.connections", front::connections);
         meters.gauge("masticfold.connections.opened", client::opened);
-        meters.gauge(
-                "masticfold.prompt.parts.quarantined", () -> quarantine.parts().size());
+        meters.gauge("masticfold.prompt.parts.quarantined", () -> quarantine.quarantined(SuspectKind.PROMPT_PART));
+        meters.gauge("masticfold.requests.quarantined", () -> quarantine.quarantined(SuspectKind.REQUEST));
         meters.gauge("masticfold.targets.limited", limits::limitedTargets);
         meters.gauge("masticfold.store.reachable", () -> platformWatcher.storeReachable() ? 1 : 0);
         meters.gauge("masticfold.configuration.version", view::configVersion);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/PeerDispatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/PeerDispatcher.java
@@ -4,7 +4,7 @@
 import io.masticfold.gateway.peer.PeerCaller;
 import io.masticfold.gateway.peer.PeerListener;
 import io.masticfold.gateway.peer.proto.PeerFrame;
-import io.masticfold.gateway.quarantine.PromptQuarantine;
+import io.masticfold.gateway.quarantine.PoisonQuarantine;
 import io.masticfold.gateway.stage.StageDispatcher;
 import io.masticfold.gateway.store.PeerStateExchange;
 import io.masticfold.gateway.store.PlatformWatcher;
@@ -15,14 +15,14 @@
     private final StageDispatcher stageDispatcher;
     private final PeerStateExchange peerStateExchange;
     private final PlatformWatcher platformWatcher;
-    private final PromptQuarantine quarantine;
+    private final PoisonQuarantine quarantine;
     private final TargetRateLimits limits;
 
     PeerDispatcher(
             StageDispatcher stageDispatcher,
             PeerStateExchange peerStateExchange,
             PlatformWatcher platformWatcher,
-            PromptQuarantine quarantine,
+            PoisonQuarantine quarantine,
             TargetRateLimits limits) {
         this.stageDispatcher = stageDispatcher;
         this.peerStateExchange = peerStateExchange;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ExchangeFailure.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ExchangeFailure.java
@@ -6,7 +6,7 @@
     NOT_SENT,
     /** The server closed or reset the connection after the request was sent. */
     CLOSED,
-    /** The server closed a reused connection before it responded, possibly while the connection was idle. */
+    /** The server closed a reused connection so soon after the send that it may have been idle at that time. */
     STALE,
     /** The response was malformed, or the connection failed otherwise, after the request was sent. */
     BROKEN
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpClient.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpClient.java
@@ -90,7 +90,7 @@
             reused.exchange(request, listener);
             return reused;
         }
-        ServerConnection connection = new ServerConnection(this, address);
+        ServerConnection connection = new ServerConnection(this, address, time);
         connection.prepare(request, listener);
         connect(connection);
         return connection;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway.http;
 
+import io.masticfold.core.time.TimeSource;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -22,8 +23,15 @@
     /** Maximum number of interim (1xx) responses before a response. */
     private static final int MAX_INTERIM_RESPONSES = 16;
 
+    /** Round trips after a send by which a server that had closed its idle connection must have been heard. */
+    private static final int ROUND_TRIPS_UNTIL_STALE_CLOSE = 2;
+
     private final HttpClient owner;
     private final InetSocketAddress address;
+    private final TimeSource time;
+    private final long connectNanos;
+    private long roundTripNanos;
+    private long sentNanos;
     private @Nullable Channel channel;
     private @Nullable ExchangeListener listener;
     private @Nullable FullHttpRequest unsent;
@@ -34,9 +42,11 @@
     private boolean sent;
     private boolean cancelled;
 
-    ServerConnection(HttpClient owner, InetSocketAddress address) {
+    ServerConnection(HttpClient owner, InetSocketAddress address, TimeSource time) {
         this.owner = owner;
         this.address = address;
+        this.time = time;
+        this.connectNanos = time.nanoTime();
     }
 
     InetSocketAddress address() {
@@ -56,6 +66,7 @@
         interimResponses = 0;
         closeAfterResponse = false;
         sent = true;
+        sentNanos = time.nanoTime();
         exchanges++;
         Channel open = channel;
         if (open == null) {
@@ -103,6 +114,7 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
+        roundTripNanos = time.nanoTime() - connectNanos;
         if (cancelled) {
             context.close();
             return;
@@ -207,7 +219,9 @@
         if (!sent) {
             return ExchangeFailure.NOT_SENT;
         }
-        return headSeen || exchanges == 1 ? ExchangeFailure.CLOSED : ExchangeFailure.STALE;
+        boolean possiblyIdle =
+                exchanges > 1 && time.nanoTime() - sentNanos <= ROUND_TRIPS_UNTIL_STALE_CLOSE * roundTripNanos;
+        return headSeen || !possiblyIdle ? ExchangeFailure.CLOSED : ExchangeFailure.STALE;
     }
 
     private void fail(ExchangeFailure failure, String detail) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
@@ -46,7 +46,10 @@
     PROMPT_PART_CLEARED(6040, Level.INFO, "a prompt part is no longer suspected or quarantined"),
     QUARANTINE_UNREADABLE(6041, Level.ERROR, "the quarantined prompt parts in the object store cannot be decoded"),
     TARGET_LIMIT_NAMED(6042, Level.WARN, "a target names a limit on the requests that it takes from all gateways"),
-    TARGET_LIMIT_LIFTED(6043, Level.INFO, "a target names no limit any more");
+    TARGET_LIMIT_LIFTED(6043, Level.INFO, "a target names no limit any more"),
+    REQUEST_ACCUSED(6044, Level.INFO, "a target ended while it began the answer to a request"),
+    REQUEST_QUARANTINED(6045, Level.WARN, "a request crashes targets; it is refused from now on"),
+    REQUEST_CLEARED(6046, Level.INFO, "a request is no longer suspected or quarantined");
 
     private final EventDefinition definition;
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StoreKind.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StoreKind.java
@@ -10,6 +10,6 @@
     ZONES_OUT,
     /** Entries that gateways write about themselves. */
     GATEWAYS,
-    /** Prompt parts that crash targets. */
+    /** Prompt parts and requests that crash targets. */
     QUARANTINED_PARTS
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/quarantine/EvidenceCodec.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/quarantine/EvidenceCodec.java
@@ -20,7 +20,7 @@
             evidence.addEnds(CrashedTarget.newBuilder()
                     .setTarget(end.target())
                     .setAgeMillis((int) Math.max(0, ageMillis))
-                    .addAllParts(end.parts()));
+                    .addAllParts(end.suspects()));
         }
         return evidence;
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/quarantine/PromptQuarantine.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/quarantine/PoisonQuarantine.java
@@ -2,10 +2,10 @@
 
 import io.masticfold.core.directory.TargetRecord;
 import io.masticfold.core.quarantine.PoisonDetector;
+import io.masticfold.core.quarantine.SuspectKind;
 import io.masticfold.core.quarantine.TargetEnd;
 import io.masticfold.core.telemetry.Telemetry;
 import io.masticfold.core.time.Scheduler;
-import io.masticfold.gateway.log.GatewayEvent;
 import io.masticfold.gateway.log.RateLimitedLog;
 import io.masticfold.gateway.peer.PeerCaller;
 import io.masticfold.gateway.peer.PeerLinks;
@@ -22,13 +22,13 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Knows the prompt parts that crash targets, from what this gateway and its peers see and from the store. Not
- * thread-safe.
+ * Knows the requests and prompt parts that crash targets, from what this gateway and its peers see and from the store.
+ * Not thread-safe.
  */
-public final class PromptQuarantine {
+public final class PoisonQuarantine {
 
-    /** Largest number of parts of one request that are accused when a target ends. */
-    private static final int MAX_ACCUSED_PARTS = 64;
+    /** Largest number of suspects of one request that are accused when a target ends. */
+    private static final int MAX_ACCUSED = 64;
 
     /** Ids of prompt parts, which also name objects of the store. */
     private static final Pattern PART_ID = Pattern.compile("[0-9A-Fa-f]{1,64}");
@@ -44,8 +44,8 @@
     private @Nullable PeerLinks links;
     private @Nullable QuarantineStore store;
 
-    /** Creates a quarantine without parts. */
-    public PromptQuarantine(Scheduler scheduler, RateLimitedLog log, Telemetry telemetry) {
+    /** Creates an empty quarantine. */
+    public PoisonQuarantine(Scheduler scheduler, RateLimitedLog log, Telemetry telemetry) {
         this.scheduler = scheduler;
         this.log = log;
         this.telemetry = telemetry;
@@ -59,56 +59,61 @@
         quarantineStore.start(this);
     }
 
-    /** Adds a listener that is told of each part that is quarantined from now on. */
+    /** Adds a listener that is told the name of each suspect that is quarantined from now on. */
     public void addListener(Consumer<String> listener) {
         listeners.add(listener);
     }
 
-    /** Returns the first quarantined part among those of a prompt. */
-    public Optional<String> find(Collection<String> parts) {
-        return detector.quarantined(parts);
+    /** Returns the first quarantined suspect among those of a request. */
+    public Optional<String> find(Collection<String> suspects) {
+        return detector.quarantined(suspects);
     }
 
-    /** Returns the quarantined parts. */
-    public Set<String> parts() {
+    /** Returns the names of the quarantined suspects. */
+    public Set<String> quarantined() {
         return detector.quarantined();
     }
 
+    /** Returns the number of quarantined suspects of a kind. */
+    public int quarantined(SuspectKind kind) {
+        return (int) detector.quarantined().stream()
+                .filter(name -> SuspectKind.of(name) == kind)
+                .count();
+    }
+
     /** Returns whether a request that was broken off may be tried at another target. */
-    public boolean allowsAnotherTarget(Collection<String> parts) {
-        return !detector.suspected(parts);
+    public boolean allowsAnotherTarget(Collection<String> suspects) {
+        return !detector.suspected(suspects);
     }
 
     /**
      * Records that a target closed its connection while it began the answer to a request.
      *
-     * @param parts ids of the shared parts of the request's prompt
+     * @param suspects name of the request and ids of the shared parts of its prompt
      */
-    public void recordBrokenOff(TargetRecord target, List<String> parts) {
-        Set<String> accused = parts.stream()
-                .filter(part -> PART_ID.matcher(part).matches())
-                .limit(MAX_ACCUSED_PARTS)
+    public void recordBrokenOff(TargetRecord target, List<String> suspects) {
+        Set<String> accused = suspects.stream()
+                .filter(name -> SuspectKind.of(name) == SuspectKind.REQUEST
+                        || PART_ID.matcher(name).matches())
+                .limit(MAX_ACCUSED)
                 .collect(Collectors.toSet());
-        if (accused.isEmpty()) {
-            return;
-        }
         TargetEnd end = new TargetEnd(target.incarnation(), scheduler.nanoTime(), accused);
         Set<String> quarantined = detector.recordEnd(end);
         logAccused(end, "");
         broadcast(EvidenceCodec.encode(scheduler, List.of(end)).addAllQuarantined(quarantined));
-        for (String part : quarantined) {
-            quarantined(part, "ends of targets");
+        for (String suspect : quarantined) {
+            quarantined(suspect, "ends of targets");
             if (store != null) {
-                store.add(part);
+                store.add(suspect);
             }
         }
     }
 
-    /** Records that the answer to a request goes on after it has begun. */
-    public void recordBegun(List<String> parts) {
-        Set<String> released = detector.recordCleared(parts);
+    /** Records that an answer with these suspects went on without a crash. */
+    public void recordCleared(List<String> suspects) {
+        Set<String> released = detector.recordCleared(suspects);
         if (!released.isEmpty()) {
-            released(released, "an answer has begun");
+            released(released, "answered");
             broadcast(PoisonEvidence.newBuilder().addAllCleared(released));
         }
     }
@@ -119,12 +124,12 @@
         for (TargetEnd end : EvidenceCodec.decode(scheduler, evidence)) {
             Set<String> quarantined = detector.recordEnd(end);
             logAccused(end, peer);
-            quarantined.forEach(part -> quarantined(part, "ends of targets"));
+            quarantined.forEach(suspect -> quarantined(suspect, "ends of targets"));
         }
-        evidence.getQuarantinedList().forEach(part -> adopt(part, peer));
+        evidence.getQuarantinedList().forEach(suspect -> adopt(suspect, peer));
         Set<String> released = detector.recordCleared(evidence.getClearedList());
         if (!released.isEmpty()) {
-            released(released, "an answer has begun at " + peer);
+            released(released, "answered at " + peer);
         }
     }
 
@@ -138,27 +143,28 @@
         }
     }
 
-    /** Quarantines a part that a peer or the store knows. */
-    void adopt(String part, String source) {
-        if (detector.adoptQuarantine(part)) {
-            quarantined(part, source);
+    /** Quarantines a suspect that a peer or the store knows. */
+    void adopt(String suspect, String source) {
+        if (detector.adoptQuarantine(suspect)) {
+            quarantined(suspect, source);
         }
     }
 
-    /** Ends the quarantine of a part that an operator has removed from the store. */
-    void removeByOperator(String part) {
-        if (detector.release(part)) {
-            released(Set.of(part), "an operator has removed it from the store");
+    /** Ends the quarantine of a suspect that an operator has removed from the store. */
+    void removeByOperator(String suspect) {
+        if (detector.release(suspect)) {
+            released(Set.of(suspect), "an operator has removed it from the store");
         }
     }
 
     private void logAccused(TargetEnd end, String peer) {
-        for (String part : end.parts()) {
-            int ends = detector.ends(part);
+        for (String suspect : end.suspects()) {
+            int ends = detector.ends(suspect);
             if (ends > 0) {
-                telemetry.count("prompt_part_accused");
-                log.important(GatewayEvent.PROMPT_PART_ACCUSED)
-                        .addKeyValue("part", part)
+                SuspectEvents events = SuspectEvents.of(suspect);
+                telemetry.count(events.accusedCounter());
+                log.important(events.accused())
+                        .addKeyValue("suspect", suspect)
                         .addKeyValue("target", end.target())
                         .addKeyValue("ends", ends)
                         .addKeyValue("peer", peer)
@@ -167,24 +173,26 @@
         }
     }
 
-    private void quarantined(String part, String source) {
-        telemetry.count("prompt_part_quarantined");
-        log.important(GatewayEvent.PROMPT_PART_QUARANTINED)
-                .addKeyValue("part", part)
+    private void quarantined(String suspect, String source) {
+        SuspectEvents events = SuspectEvents.of(suspect);
+        telemetry.count(events.quarantinedCounter());
+        log.important(events.quarantined())
+                .addKeyValue("suspect", suspect)
                 .addKeyValue("source", source)
                 .log();
-        listeners.forEach(listener -> listener.accept(part));
+        listeners.forEach(listener -> listener.accept(suspect));
     }
 
-    private void released(Set<String> parts, String reason) {
-        for (String part : parts) {
-            telemetry.count("prompt_part_cleared");
-            log.important(GatewayEvent.PROMPT_PART_CLEARED)
-                    .addKeyValue("part", part)
+    private void released(Set<String> suspects, String reason) {
+        for (String suspect : suspects) {
+            SuspectEvents events = SuspectEvents.of(suspect);
+            telemetry.count(events.clearedCounter());
+            log.important(events.cleared())
+                    .addKeyValue("suspect", suspect)
                     .addKeyValue("reason", reason)
                     .log();
             if (store != null) {
-                store.remove(part);
+                store.remove(suspect);
             }
         }
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/quarantine/QuarantineStore.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/quarantine/QuarantineStore.java
@@ -7,22 +7,23 @@
 import io.masticfold.gateway.log.RateLimitedLog;
 import io.masticfold.gateway.protocol.StoreDialect;
 import io.masticfold.gateway.protocol.StoreKind;
-import io.masticfold.gateway.protocol.StoreObject;
+import io.masticfold.gateway.protocol.StorePage;
 import io.masticfold.gateway.store.ObjectStoreClient;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Keeps the quarantined parts in the store, one object each, so that they outlive all gateways and an operator can
- * remove them. The store is read at the start, and at intervals while parts are quarantined. Not thread-safe.
+ * Keeps the quarantined suspects in the store, one object each, so that they outlive all gateways and an operator can
+ * remove them. The store is read at the start, and at intervals while anything is quarantined. Not thread-safe.
  */
 public final class QuarantineStore {
 
@@ -31,7 +32,7 @@
     /** Delay before a failed call is retried. */
     private static final Duration RETRY_DELAY = Duration.ofSeconds(1);
 
-    /** Interval of reads while parts are quarantined; bounds the time until an operator's removal is noticed. */
+    /** Interval of reads while anything is quarantined; bounds the time until an operator's removal is noticed. */
     private static final Duration READ_INTERVAL = Duration.ofSeconds(10);
 
     private final ObjectStoreClient store;
@@ -39,11 +40,11 @@
     private final Scheduler scheduler;
     private final RateLimitedLog log;
 
-    /** Parts whose objects were seen in the store, with its era at that time. */
+    /** Suspects whose objects were seen in the store, with its era at that time. */
     private final Map<String, Long> storedEras = new HashMap<>();
 
     private final Set<String> writing = new HashSet<>();
-    private @Nullable PromptQuarantine quarantine;
+    private @Nullable PoisonQuarantine quarantine;
 
     /** Creates the access to the store. Nothing is read before {@link #start}. */
     public QuarantineStore(ObjectStoreClient store, StoreDialect dialect, Scheduler scheduler, RateLimitedLog log) {
@@ -53,116 +54,129 @@
         this.log = log;
     }
 
-    void start(PromptQuarantine parts) {
-        quarantine = parts;
+    void start(PoisonQuarantine owner) {
+        quarantine = owner;
         readAtStart();
     }
 
     private void readAtStart() {
-        read(
-                dialect.listUri(StoreKind.QUARANTINED_PARTS, null),
-                () -> scheduler.schedule(RETRY_DELAY, this::readAtStart));
+        read(() -> scheduler.schedule(RETRY_DELAY, this::readAtStart));
     }
 
     private void readPeriodically() {
         scheduler.schedule(READ_INTERVAL, () -> {
-            if (quarantine == null || quarantine.parts().isEmpty()) {
+            if (quarantine == null || quarantine.quarantined().isEmpty()) {
                 readPeriodically();
             } else {
-                read(dialect.listUri(StoreKind.QUARANTINED_PARTS, null), this::readPeriodically);
+                read(this::readPeriodically);
             }
         });
     }
 
-    private void read(String uri, Runnable onFailure) {
-        store.read(uri, TIMEOUT, result -> {
-            if (result instanceof CallResult.Answered answered
-                    && answered.status() == HttpResponseStatus.OK.code()
-                    && merge(answered)) {
-                readPeriodically();
-            } else {
+    private void read(Runnable onFailure) {
+        // What is stored while the read is under way may be missing from it.
+        readPage(Map.copyOf(storedEras), List.of(), null, onFailure);
+    }
+
+    /** Reads the page after the given names; the list is merged once the last page was read. */
+    private void readPage(
+            Map<String, Long> storedBefore, List<String> before, @Nullable String after, Runnable onFailure) {
+        store.read(dialect.listUri(StoreKind.QUARANTINED_PARTS, after), TIMEOUT, result -> {
+            Optional<StorePage> page = decode(result);
+            if (page.isEmpty()) {
                 onFailure.run();
+                return;
+            }
+            List<String> names = new ArrayList<>(before);
+            page.get().objects().forEach(object -> names.add(object.name()));
+            if (page.get().more() && !names.isEmpty()) {
+                readPage(storedBefore, names, names.get(names.size() - 1), onFailure);
+            } else {
+                merge(storedBefore, names, dialect.decodeEra(((CallResult.Answered) result).headers()));
+                readPeriodically();
             }
         });
     }
 
-    private boolean merge(CallResult.Answered answered) {
-        List<StoreObject> objects;
+    private Optional<StorePage> decode(CallResult result) {
+        if (!(result instanceof CallResult.Answered answered) || answered.status() != HttpResponseStatus.OK.code()) {
+            return Optional.empty();
+        }
         try {
-            objects = dialect.decodePage(answered.body()).objects();
+            return Optional.of(dialect.decodePage(answered.body()));
         } catch (MasticfoldException e) {
             log.important(GatewayEvent.QUARANTINE_UNREADABLE)
                     .addKeyValue("problem", e.getMessage())
                     .log();
-            return false;
+            return Optional.empty();
         }
-        long era = dialect.decodeEra(answered.headers());
-        Set<String> names = objects.stream().map(StoreObject::name).collect(Collectors.toSet());
-        PromptQuarantine parts = quarantine;
-        if (parts != null) {
-            for (String part : parts.parts()) {
-                if (!names.contains(part)) {
-                    handleMissing(parts, part, era);
+    }
+
+    private void merge(Map<String, Long> storedBefore, List<String> stored, long era) {
+        Set<String> names = Set.copyOf(stored);
+        PoisonQuarantine known = quarantine;
+        if (known != null) {
+            for (String name : known.quarantined()) {
+                if (!names.contains(name)) {
+                    handleMissing(known, name, storedBefore.get(name), era);
                 }
             }
-            names.forEach(part -> parts.adopt(part, "store"));
+            names.forEach(name -> known.adopt(name, "store"));
         }
-        names.forEach(part -> storedEras.put(part, era));
-        return true;
+        names.forEach(name -> storedEras.put(name, era));
     }
 
-    /** Removes a part that an operator has deleted; writes one that was never stored or that a restore has lost. */
-    private void handleMissing(PromptQuarantine parts, String part, long era) {
-        Long storedEra = storedEras.get(part);
+    /** Releases a suspect that an operator has deleted; writes one that was never stored or that a restore has lost. */
+    private void handleMissing(PoisonQuarantine known, String name, @Nullable Long storedEra, long era) {
         if (storedEra != null && storedEra == era) {
-            parts.removeByOperator(part);
+            known.removeByOperator(name);
         } else {
-            add(part);
+            add(name);
         }
     }
 
-    /** Writes a part until it is stored. */
-    void add(String part) {
-        if (writing.add(part)) {
-            write(part);
+    /** Writes a suspect until it is stored. */
+    void add(String name) {
+        if (writing.add(name)) {
+            write(name);
         }
     }
 
-    private void write(String part) {
+    private void write(String name) {
         store.create(
                 dialect.createUri(StoreKind.QUARANTINED_PARTS),
-                dialect.encodeQuarantinedPart(part),
+                dialect.encodeQuarantinedPart(name),
                 TIMEOUT,
-                result -> written(part, result));
+                result -> written(name, result));
     }
 
-    private void written(String part, CallResult result) {
+    private void written(String name, CallResult result) {
         boolean exists = result instanceof CallResult.Answered answered
                 && (HttpStatusClass.valueOf(answered.status()) == HttpStatusClass.SUCCESS
                         || answered.status() == HttpResponseStatus.CONFLICT.code());
-        if (exists && writing.remove(part)) {
-            storedEras.put(part, dialect.decodeEra(((CallResult.Answered) result).headers()));
+        if (exists && writing.remove(name)) {
+            storedEras.put(name, dialect.decodeEra(((CallResult.Answered) result).headers()));
         } else if (exists) {
-            // The part was cleared during the write.
-            delete(part);
-        } else if (writing.contains(part)) {
+            // The suspect was cleared during the write.
+            delete(name);
+        } else if (writing.contains(name)) {
             scheduler.schedule(RETRY_DELAY, () -> {
-                if (writing.contains(part)) {
-                    write(part);
+                if (writing.contains(name)) {
+                    write(name);
                 }
             });
         }
     }
 
-    /** Removes a part that is quarantined no more; a removal that fails is repeated when the part is read again. */
-    void remove(String part) {
-        writing.remove(part);
-        if (storedEras.remove(part) != null) {
-            delete(part);
+    /** Removes a suspect that is quarantined no more; a removal that fails is repeated when it is read again. */
+    void remove(String name) {
+        writing.remove(name);
+        if (storedEras.remove(name) != null) {
+            delete(name);
         }
     }
 
-    private void delete(String part) {
-        store.delete(dialect.objectUri(StoreKind.QUARANTINED_PARTS, part), TIMEOUT, _result -> {});
+    private void delete(String name) {
+        store.delete(dialect.objectUri(StoreKind.QUARANTINED_PARTS, name), TIMEOUT, _result -> {});
     }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/quarantine/package-info.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/quarantine/package-info.java
@@ -1,4 +1,4 @@
-/** Holds requests back whose prompts crash targets, and shares the evidence with peers and the store. */
+/** Holds back requests that crash targets, and shares the evidence with peers and the store. */
 @NullMarked
 package io.masticfold.gateway.quarantine;
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
@@ -18,7 +18,7 @@
 import io.masticfold.gateway.log.GatewayEvent;
 import io.masticfold.gateway.protocol.CallerMetadata;
 import io.masticfold.gateway.protocol.PromptPart;
-import io.masticfold.gateway.quarantine.PromptQuarantine;
+import io.masticfold.gateway.quarantine.PoisonQuarantine;
 import io.masticfold.gateway.stage.StageAdmissionQueue;
 import io.masticfold.gateway.stage.StageDispatcher;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -52,7 +52,7 @@
             StageDispatcher stages,
             StageAdmissionQueue gate,
             TargetPools targets,
-            PromptQuarantine quarantine,
+            PoisonQuarantine quarantine,
             TargetRateLimits limits) {
         this.context = context;
         this.services = new RequestServices(
@@ -62,7 +62,7 @@
                 new TargetRequestBuilder(context.protocol().headers()),
                 quarantine,
                 limits);
-        quarantine.addListener(part -> List.copyOf(active).forEach(run -> run.partQuarantined(part)));
+        quarantine.addListener(suspect -> List.copyOf(active).forEach(run -> run.suspectQuarantined(suspect)));
     }
 
     @Override
@@ -120,21 +120,17 @@
         if (metadata.deadlineMillis() == 0) {
             return refuse(request, metadata, response, ErrorKind.DEADLINE_EXPIRED, "deadline has passed");
         }
-        Optional<String> quarantined = services.quarantine().find(metadata.sharedPartIds());
+        RoutedRequest routed = routedRequest(request, metadata, config, route.get(), workspace);
+        Optional<String> quarantined = services.quarantine().find(routed.suspects());
         if (quarantined.isPresent()) {
             return refuse(
                     request,
                     metadata,
                     response,
                     ErrorKind.QUARANTINED,
-                    "prompt part " + quarantined.get() + " is quarantined");
+                    TargetSelection.quarantined(quarantined.get()).detail());
         }
-        RequestRun run = new RequestRun(
-                context,
-                services,
-                routedRequest(request, metadata, config, route.get(), workspace),
-                response,
-                active::remove);
+        RequestRun run = new RequestRun(context, services, routed, response, active::remove);
         active.add(run);
         run.start();
         return run;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -47,7 +47,7 @@
     private final StreamWatchdog watchdog;
     private final SendHistory history = new SendHistory();
     private final Deadline deadline;
-    private final List<String> sharedParts;
+    private final List<String> suspects;
     private final TargetSelection selection;
     private Cancellable timer = Cancellable.NONE;
     private @Nullable TargetResponseReceiver send;
@@ -69,7 +69,7 @@
         this.progress = routed.route().kind().streaming() ? new StreamProgress(callerResponse) : null;
         this.deadline = routed.deadline();
         this.selection = new TargetSelection(context, services);
-        this.sharedParts = routed.metadata().sharedPartIds();
+        this.suspects = routed.suspects();
         this.stages = new RequestStages(services, routed);
         this.watchdog = new StreamWatchdog(context.scheduler(), routed.route().eventPatience(), this::stalled);
     }
@@ -193,7 +193,7 @@
      */
     void eventForwarded(StreamEvent event, int numberInSend) {
         if (numberInSend == EVENT_OF_A_BEGUN_ANSWER) {
-            services.quarantine().recordBegun(sharedParts);
+            services.quarantine().recordCleared(routed.metadata().sharedPartIds());
         }
         if (event.carriesContent()) {
             watchdog.progressed();
@@ -242,14 +242,17 @@
         send = null;
         history.recordOutcome(result.outcome());
         if (result.outcome() == SendOutcome.ANSWERED) {
-            services.quarantine().recordBegun(sharedParts);
+            services.quarantine().recordCleared(suspects);
             succeed(result);
             return;
         }
+        if (result.outcome() == SendOutcome.FAILED) {
+            services.quarantine().recordCleared(List.of(routed.requestSuspect()));
+        }
         recorder.recordSendFailed(endedSend, result, progress == null ? 0 : progress.forwardedEvents());
         history.recordFailedTarget(endedSend.target().target().id());
         if (result.brokenOff() && endedSend.eventsSeen() < EVENT_OF_A_BEGUN_ANSWER) {
-            services.quarantine().recordBrokenOff(endedSend.target().target(), sharedParts);
+            services.quarantine().recordBrokenOff(endedSend.target().target(), suspects);
         }
         if (ended) {
             return;
@@ -263,7 +266,7 @@
     }
 
     private boolean permitResend(SendResult result) {
-        if (result.brokenOff() && !services.quarantine().allowsAnotherTarget(sharedParts)) {
+        if (result.brokenOff() && !services.quarantine().allowsAnotherTarget(suspects)) {
             return false;
         }
         return history.permitResend(
@@ -357,13 +360,13 @@
         onEnd.accept(this);
     }
 
-    /** Ends the request if its prompt has the part, unless its answer has begun. */
-    void partQuarantined(String part) {
-        if (ended || !sharedParts.contains(part) || (progress != null && progress.started())) {
+    /** Ends the request if the suspect is itself or a part of its prompt, unless its answer has begun. */
+    void suspectQuarantined(String suspect) {
+        if (ended || !suspects.contains(suspect) || (progress != null && progress.started())) {
             return;
         }
         cancelSend();
-        refuse(TargetSelection.quarantined(part));
+        refuse(TargetSelection.quarantined(suspect));
     }
 
     /** Closes the connection of the send in progress, if any; if a byte has left, the request may have run. */
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestServices.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestServices.java
@@ -1,7 +1,7 @@
 package io.masticfold.gateway.request;
 
 import io.masticfold.gateway.limit.TargetRateLimits;
-import io.masticfold.gateway.quarantine.PromptQuarantine;
+import io.masticfold.gateway.quarantine.PoisonQuarantine;
 import io.masticfold.gateway.stage.StageAdmissionQueue;
 import io.masticfold.gateway.stage.StageDispatcher;
 
@@ -12,7 +12,7 @@
  * @param gate admits requests to their stages
  * @param targets pools of targets
  * @param requestBuilder builds the requests sent to targets
- * @param quarantine knows the prompt parts that crash targets
+ * @param quarantine knows the requests and prompt parts that crash targets
  * @param limits knows the rate limits that targets name
  */
 record RequestServices(
@@ -20,5 +20,5 @@
         StageAdmissionQueue gate,
         TargetPools targets,
         TargetRequestBuilder requestBuilder,
-        PromptQuarantine quarantine,
+        PoisonQuarantine quarantine,
         TargetRateLimits limits) {}
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RoutedRequest.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RoutedRequest.java
@@ -2,9 +2,12 @@
 
 import io.masticfold.core.forward.ForwardRoute;
 import io.masticfold.core.placement.PromptPrefix;
+import io.masticfold.core.quarantine.SuspectKind;
 import io.masticfold.core.time.Deadline;
 import io.masticfold.gateway.http.CallerRequest;
 import io.masticfold.gateway.protocol.CallerMetadata;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.stream.Collectors;
 
 /**
@@ -38,6 +41,18 @@
     /** Largest number of prompt parts in a log line. */
     private static final int MAX_LOGGED_PARTS = 8;
 
+    /** Returns what may crash targets: the name of the request and the ids of the shared parts of its prompt. */
+    List<String> suspects() {
+        List<String> suspects = new ArrayList<>(metadata.sharedPartIds());
+        suspects.add(requestSuspect());
+        return suspects;
+    }
+
+    /** Returns the name of the request among the suspects. */
+    String requestSuspect() {
+        return SuspectKind.REQUEST.name(fingerprint);
+    }
+
     /** Returns the ids of the parts of the prompt that other prompts may share, as far as a log line holds them. */
     String loggedPromptParts() {
         return metadata.sharedPartIds().stream().limit(MAX_LOGGED_PARTS).collect(Collectors.joining(","));
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetSelection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetSelection.java
@@ -3,6 +3,7 @@
 import io.masticfold.core.error.ErrorKind;
 import io.masticfold.core.forward.ForwardConfig;
 import io.masticfold.core.forward.PoolSpec;
+import io.masticfold.core.quarantine.SuspectKind;
 import io.masticfold.gateway.context.GatewayContext;
 import java.time.Duration;
 import java.util.Map;
@@ -11,7 +12,7 @@
 /** Decides whether a request may be sent now and to which target, with all bounds in one order. */
 final class TargetSelection {
 
-    /** Delay told to the caller of a request with a quarantined prompt part. */
+    /** Delay told to the caller of a quarantined request. */
     static final Duration QUARANTINE_RETRY_AFTER = Duration.ofSeconds(30);
 
     private final GatewayContext context;
@@ -29,8 +30,7 @@
      * @param resultBytes size of the stage results that the request reads, in bytes, by availability zone
      */
     TargetChoice choose(RoutedRequest routed, SendHistory history, Map<String, Long> resultBytes) {
-        Optional<String> quarantined =
-                services.quarantine().find(routed.metadata().sharedPartIds());
+        Optional<String> quarantined = services.quarantine().find(routed.suspects());
         if (quarantined.isPresent()) {
             return quarantined(quarantined.get());
         }
@@ -59,9 +59,9 @@
                         ErrorKind.TARGET_UNREACHABLE, "targets in pool " + routed.pool() + " cannot be reached");
     }
 
-    /** Returns the refusal of a request whose prompt has the part. */
-    static TargetChoice quarantined(String part) {
-        return TargetChoice.none(
-                ErrorKind.QUARANTINED, "prompt part " + part + " is quarantined", QUARANTINE_RETRY_AFTER);
+    /** Returns the refusal of a request that is quarantined or whose prompt has a quarantined part. */
+    static TargetChoice quarantined(String suspect) {
+        String what = SuspectKind.of(suspect) == SuspectKind.REQUEST ? suspect : "prompt part " + suspect;
+        return TargetChoice.none(ErrorKind.QUARANTINED, what + " is quarantined", QUARANTINE_RETRY_AFTER);
     }
 }
