--- a/masticfold-core/src/main/java/io/masticfold/core/directory/TargetRecord.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/directory/TargetRecord.java
@@ -12,6 +12,7 @@
  * @param draining whether the target is draining and accepts no new requests
  * @param coldRemainingMillis time until the target is warm, counted from the report, in milliseconds
  * @param slots largest number of requests that run concurrently
+ * @param softwareVersion version of its software; targets of several versions may serve in one pool
  * @param startMillis start time of the incarnation, in milliseconds since the epoch; 0 if unknown
  */
 public record TargetRecord(
@@ -22,6 +23,7 @@
         boolean draining,
         long coldRemainingMillis,
         int slots,
+        String softwareVersion,
         long startMillis) {
 
     /** Validates the id. */
@@ -43,6 +45,7 @@
 
     /** Returns this record with the state draining. */
     TargetRecord asDraining() {
-        return new TargetRecord(id, pool, address, zone, true, coldRemainingMillis, slots, startMillis);
+        return new TargetRecord(
+                id, pool, address, zone, true, coldRemainingMillis, slots, softwareVersion, startMillis);
     }
 }
--- a/masticfold-core/src/test/java/io/masticfold/core/directory/RestoredDirectoryTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/directory/RestoredDirectoryTests.java
@@ -21,7 +21,7 @@
 
     private static TargetRecord target(String id, boolean draining, long startedMillis) {
         InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 80);
-        return new TargetRecord(id, "pool", address, "z1", draining, 0, 4, startedMillis);
+        return new TargetRecord(id, "pool", address, "z1", draining, 0, 4, "v1", startedMillis);
     }
 
     private List<String> usable() {
--- a/masticfold-core/src/test/java/io/masticfold/core/directory/TargetTableTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/directory/TargetTableTests.java
@@ -19,7 +19,7 @@
 
     private static TargetRecord target(String id, boolean draining, long startedMillis) {
         return new TargetRecord(
-                id, "pool", new InetSocketAddress("127.0.0.1", 80), "z1", draining, 0, 4, startedMillis);
+                id, "pool", new InetSocketAddress("127.0.0.1", 80), "z1", draining, 0, 4, "v1", startedMillis);
     }
 
     private List<String> usable() {
--- a/masticfold-core/src/test/java/io/masticfold/core/placement/EnginePlacementTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/placement/EnginePlacementTests.java
@@ -16,7 +16,7 @@
     private static final PromptPrefix LONG = new PromptPrefix(42, 13_300, 17_000);
 
     private static TargetRecord engine(String id, String zone) {
-        return new TargetRecord(id, "pool", new InetSocketAddress("127.0.0.1", 80), zone, false, 0, 64, 1);
+        return new TargetRecord(id, "pool", new InetSocketAddress("127.0.0.1", 80), zone, false, 0, 64, "v1", 1);
     }
 
     private static TargetLoadView view(String id, String zone, long queuedTokens, boolean suspect) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/CallerMetadata.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/CallerMetadata.java
@@ -12,6 +12,8 @@
  * @param outputTokens maximum number of output tokens; 0 if unknown
  * @param promptParts parts of the prompt in order; only the last is specific to this request or its session
  * @param stagePieces number of pieces of each stage; empty if the request has no stages
+ * @param lastEventId id of the last event that the caller has of a stream that it takes up; empty for a new stream
+ * @param resumedAttempt id of the attempt that brought the first event of that stream; empty if not named
  * @param stageKey key of the pieces that read no results of other pieces; empty if missing
  */
 public record CallerMetadata(
@@ -22,6 +24,8 @@
         int outputTokens,
         List<PromptPart> promptParts,
         List<Integer> stagePieces,
+        String lastEventId,
+        String resumedAttempt,
         String stageKey) {
 
     /** Copies the lists. */
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/TargetListener.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/TargetListener.java
@@ -83,6 +83,7 @@
             log().important(added ? GatewayEvent.TARGET_ADDED : GatewayEvent.TARGET_CHANGED)
                     .addKeyValue("target", target.id())
                     .addKeyValue("pool", target.pool())
+                    .addKeyValue("version", target.softwareVersion())
                     .addKeyValue("leaving", target.draining())
                     .addKeyValue("coldMillis", target.coldRemainingMillis())
                     .addKeyValue("revision", revision)
