--- a/masticfold-core/src/main/java/io/masticfold/core/directory/TargetDirectory.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/directory/TargetDirectory.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -59,6 +60,14 @@
         return Optional.ofNullable(byId.get(id));
     }
 
+    /** Returns the software versions of all known targets of each pool, those that accept no new requests included. */
+    public Map<String, Set<String>> softwareVersions() {
+        Map<String, Set<String>> versions = new HashMap<>();
+        byId.values().forEach(target -> versions.computeIfAbsent(target.pool(), _pool -> new HashSet<>())
+                .add(target.softwareVersion()));
+        return versions;
+    }
+
     /** Returns the number of known targets. */
     public int size() {
         return byId.size();
--- a/masticfold-core/src/main/java/io/masticfold/core/forward/ForwardConfig.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/forward/ForwardConfig.java
@@ -1,7 +1,9 @@
 package io.masticfold.core.forward;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -81,6 +83,16 @@
         return Optional.empty();
     }
 
+    /** Returns the longest timeout of the routes whose streams can be taken up; zero if there are none. */
+    public Duration longestResumableTimeout() {
+        return routesByHost.values().stream()
+                .flatMap(List::stream)
+                .filter(route -> route.kind() == RequestKind.RESUMABLE_STREAM)
+                .map(ForwardRoute::timeout)
+                .max(Comparator.naturalOrder())
+                .orElse(Duration.ZERO);
+    }
+
     /** Returns whether requests need an API key, except on routes that are open to all. */
     public boolean requiresKey() {
         return !workspacesByKey.isEmpty();
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -22,6 +22,8 @@
 import io.masticfold.gateway.quarantine.QuarantineStore;
 import io.masticfold.gateway.request.ForwardHandler;
 import io.masticfold.gateway.request.TargetPools;
+import io.masticfold.gateway.resume.StreamRecordStore;
+import io.masticfold.gateway.resume.StreamVersionRegistry;
 import io.masticfold.gateway.settings.GatewaySettings;
 import io.masticfold.gateway.stage.StageAdmissionQueue;
 import io.masticfold.gateway.stage.StageDispatcher;
@@ -71,6 +73,7 @@
     private final PauseRecovery pauseRecovery;
     private final PeerStateExchange peerStateExchange;
     private final PoisonQuarantine quarantine;
+    private final StreamVersionRegistry versions;
     private final TargetRateLimits limits;
     private final QuarantineStore quarantineStore;
     private final StageDispatcher stageDispatcher;
@@ -106,6 +109,12 @@
                 new GatewayContext(this.settings, protocol, client, scheduler, pauseGuard, view, log, telemetry);
         this.peerStateExchange = new PeerStateExchange(platformWatcher, scheduler, log);
         this.quarantine = new PoisonQuarantine(scheduler, log, telemetry);
+        this.versions = new StreamVersionRegistry(
+                scheduler,
+                view,
+                log,
+                telemetry,
+                new StreamRecordStore(store, protocol.store(), scheduler, log, settings.node()));
         this.limits = new TargetRateLimits(scheduler, view, log, telemetry, settings.node());
         this.quarantineStore = new QuarantineStore(store, protocol.store(), scheduler, log);
         this.stageDispatcher = new StageDispatcher(context, _name -> retryBudget());
@@ -116,13 +125,14 @@
                 settings.node(),
                 view::gateways,
                 settings.seeds(),
-                new PeerDispatcher(stageDispatcher, peerStateExchange, platformWatcher, quarantine, limits));
+                new PeerDispatcher(stageDispatcher, peerStateExchange, platformWatcher, quarantine, versions, limits));
         this.forwardHandler = new ForwardHandler(
                 context,
                 stageDispatcher,
                 admissionQueue,
                 new TargetPools(context, limits, _name -> retryBudget()),
                 quarantine,
+                versions,
                 limits);
         this.front = new HttpServer(group, time, view::requestLimits, forwardHandler, reason -> {
             telemetry.count("bad_request_" + reason.code());
@@ -187,6 +197,7 @@
             platformWatcher.shareReads(peers::reachable);
             peerStateExchange.start(peers);
             quarantine.start(peers, quarantineStore);
+            versions.start(peers);
             limits.start(peers);
             registration.register();
             closeExpiredConnections();
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/PeerDispatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/PeerDispatcher.java
@@ -5,6 +5,7 @@
 import io.masticfold.gateway.peer.PeerListener;
 import io.masticfold.gateway.peer.proto.PeerFrame;
 import io.masticfold.gateway.quarantine.PoisonQuarantine;
+import io.masticfold.gateway.resume.StreamVersionRegistry;
 import io.masticfold.gateway.stage.StageDispatcher;
 import io.masticfold.gateway.store.PeerStateExchange;
 import io.masticfold.gateway.store.PlatformWatcher;
@@ -16,6 +17,7 @@
     private final PeerStateExchange peerStateExchange;
     private final PlatformWatcher platformWatcher;
     private final PoisonQuarantine quarantine;
+    private final StreamVersionRegistry versions;
     private final TargetRateLimits limits;
 
     PeerDispatcher(
@@ -23,11 +25,13 @@
             PeerStateExchange peerStateExchange,
             PlatformWatcher platformWatcher,
             PoisonQuarantine quarantine,
+            StreamVersionRegistry versions,
             TargetRateLimits limits) {
         this.stageDispatcher = stageDispatcher;
         this.peerStateExchange = peerStateExchange;
         this.platformWatcher = platformWatcher;
         this.quarantine = quarantine;
+        this.versions = versions;
         this.limits = limits;
     }
 
@@ -35,6 +39,8 @@
     public void responseReceived(String peer, PeerFrame frame) {
         if (frame.hasPoisonEvidence()) {
             quarantine.handle(peer, frame.getPoisonEvidence());
+        } else if (frame.hasStreamVersions()) {
+            versions.handle(peer, frame.getStreamVersions());
         } else if (frame.hasNamedLimits()) {
             limits.handle(peer, frame.getNamedLimits());
         } else if (frame.hasKnowledge()) {
@@ -58,6 +64,7 @@
     public void requestReceived(PeerCaller caller, PeerFrame frame) {
         if (frame.hasHello()) {
             quarantine.greet(caller);
+            versions.greet(caller);
             limits.greet(caller);
         } else if (frame.hasKnowledgeRequest()) {
             peerStateExchange.handleRequest(caller, frame.getKnowledgeRequest());
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
@@ -49,7 +49,10 @@
     TARGET_LIMIT_LIFTED(6043, Level.INFO, "a target names no limit any more"),
     REQUEST_ACCUSED(6044, Level.INFO, "a target ended while it began the answer to a request"),
     REQUEST_QUARANTINED(6045, Level.WARN, "a request crashes targets; it is refused from now on"),
-    REQUEST_CLEARED(6046, Level.INFO, "a request is no longer suspected or quarantined");
+    REQUEST_CLEARED(6046, Level.INFO, "a request is no longer suspected or quarantined"),
+    SOFTWARE_VERSION_SEEN(6047, Level.INFO, "a software version may have begun the streams of a pool"),
+    STREAM_RECORD_UNREADABLE(6048, Level.ERROR, "a record of streams in the object store cannot be decoded"),
+    STREAM_NOT_RESUMED(6049, Level.WARN, "a stream does not go on, since its software version is gone or not known");
 
     private final EventDefinition definition;
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerFrame.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerFrame.java
@@ -65,6 +65,7 @@
     INPUTS_READ(9),
     POISON_EVIDENCE(10),
     NAMED_LIMITS(11),
+    STREAM_VERSIONS(12),
     MESSAGE_NOT_SET(0);
     private final int value;
     private MessageCase(int value) {
@@ -93,6 +94,7 @@
         case 9: return INPUTS_READ;
         case 10: return POISON_EVIDENCE;
         case 11: return NAMED_LIMITS;
+        case 12: return STREAM_VERSIONS;
         case 0: return MESSAGE_NOT_SET;
         default: return null;
       }
@@ -449,6 +451,37 @@
     return io.masticfold.gateway.peer.proto.NamedLimits.getDefaultInstance();
   }
 
+  public static final int STREAM_VERSIONS_FIELD_NUMBER = 12;
+  /**
+   * <code>.masticfold.gateway.StreamVersions stream_versions = 12;</code>
+   * @return Whether the streamVersions field is set.
+   */
+  @java.lang.Override
+  public boolean hasStreamVersions() {
+    return messageCase_ == 12;
+  }
+  /**
+   * <code>.masticfold.gateway.StreamVersions stream_versions = 12;</code>
+   * @return The streamVersions.
+   */
+  @java.lang.Override
+  public io.masticfold.gateway.peer.proto.StreamVersions getStreamVersions() {
+    if (messageCase_ == 12) {
+       return (io.masticfold.gateway.peer.proto.StreamVersions) message_;
+    }
+    return io.masticfold.gateway.peer.proto.StreamVersions.getDefaultInstance();
+  }
+  /**
+   * <code>.masticfold.gateway.StreamVersions stream_versions = 12;</code>
+   */
+  @java.lang.Override
+  public io.masticfold.gateway.peer.proto.StreamVersionsOrBuilder getStreamVersionsOrBuilder() {
+    if (messageCase_ == 12) {
+       return (io.masticfold.gateway.peer.proto.StreamVersions) message_;
+    }
+    return io.masticfold.gateway.peer.proto.StreamVersions.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -496,6 +529,9 @@
     if (messageCase_ == 11) {
       output.writeMessage(11, (io.masticfold.gateway.peer.proto.NamedLimits) message_);
     }
+    if (messageCase_ == 12) {
+      output.writeMessage(12, (io.masticfold.gateway.peer.proto.StreamVersions) message_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -544,6 +580,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(11, (io.masticfold.gateway.peer.proto.NamedLimits) message_);
     }
+    if (messageCase_ == 12) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(12, (io.masticfold.gateway.peer.proto.StreamVersions) message_);
+    }
     return size;
   }
   @java.lang.Override
@@ -614,6 +654,10 @@
         if (!getNamedLimits()
             .equals(other.getNamedLimits())) return false;
         break;
+      case 12:
+        if (!getStreamVersions()
+            .equals(other.getStreamVersions())) return false;
+        break;
       case 0:
       default:
     }
@@ -673,6 +717,10 @@
         hash = (37 * hash) + NAMED_LIMITS_FIELD_NUMBER;
         hash = (53 * hash) + getNamedLimits().hashCode();
         break;
+      case 12:
+        hash = (37 * hash) + STREAM_VERSIONS_FIELD_NUMBER;
+        hash = (53 * hash) + getStreamVersions().hashCode();
+        break;
       case 0:
       default:
     }
@@ -840,6 +888,9 @@
       if (namedLimitsBuilder_ != null) {
         namedLimitsBuilder_.clear();
       }
+      if (streamVersionsBuilder_ != null) {
+        streamVersionsBuilder_.clear();
+      }
       messageCase_ = 0;
       message_ = null;
       return this;
@@ -925,6 +976,10 @@
           namedLimitsBuilder_ != null) {
         result.message_ = namedLimitsBuilder_.build();
       }
+      if (messageCase_ == 12 &&
+          streamVersionsBuilder_ != null) {
+        result.message_ = streamVersionsBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -984,6 +1039,10 @@
           mergeNamedLimits(other.getNamedLimits());
           break;
         }
+        case STREAM_VERSIONS: {
+          mergeStreamVersions(other.getStreamVersions());
+          break;
+        }
         case MESSAGE_NOT_SET: {
           break;
         }
@@ -1089,6 +1148,13 @@
               messageCase_ = 11;
               break;
             } // case 90
+            case 98: {
+              input.readMessage(
+                  internalGetStreamVersionsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              messageCase_ = 12;
+              break;
+            } // case 98
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2661,6 +2727,146 @@
       return namedLimitsBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        io.masticfold.gateway.peer.proto.StreamVersions, io.masticfold.gateway.peer.proto.StreamVersions.Builder, io.masticfold.gateway.peer.proto.StreamVersionsOrBuilder> streamVersionsBuilder_;
+    /**
+     * <code>.masticfold.gateway.StreamVersions stream_versions = 12;</code>
+     * @return Whether the streamVersions field is set.
+     */
+    @java.lang.Override
+    public boolean hasStreamVersions() {
+      return messageCase_ == 12;
+    }
+    /**
+     * <code>.masticfold.gateway.StreamVersions stream_versions = 12;</code>
+     * @return The streamVersions.
+     */
+    @java.lang.Override
+    public io.masticfold.gateway.peer.proto.StreamVersions getStreamVersions() {
+      if (streamVersionsBuilder_ == null) {
+        if (messageCase_ == 12) {
+          return (io.masticfold.gateway.peer.proto.StreamVersions) message_;
+        }
+        return io.masticfold.gateway.peer.proto.StreamVersions.getDefaultInstance();
+      } else {
+        if (messageCase_ == 12) {
+          return streamVersionsBuilder_.getMessage();
+        }
+        return io.masticfold.gateway.peer.proto.StreamVersions.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.masticfold.gateway.StreamVersions stream_versions = 12;</code>
+     */
+    public Builder setStreamVersions(io.masticfold.gateway.peer.proto.StreamVersions value) {
+      if (streamVersionsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        message_ = value;
+        onChanged();
+      } else {
+        streamVersionsBuilder_.setMessage(value);
+      }
+      messageCase_ = 12;
+      return this;
+    }
+    /**
+     * <code>.masticfold.gateway.StreamVersions stream_versions = 12;</code>
+     */
+    public Builder setStreamVersions(
+        io.masticfold.gateway.peer.proto.StreamVersions.Builder builderForValue) {
+      if (streamVersionsBuilder_ == null) {
+        message_ = builderForValue.build();
+        onChanged();
+      } else {
+        streamVersionsBuilder_.setMessage(builderForValue.build());
+      }
+      messageCase_ = 12;
+      return this;
+    }
+    /**
+     * <code>.masticfold.gateway.StreamVersions stream_versions = 12;</code>
+     */
+    public Builder mergeStreamVersions(io.masticfold.gateway.peer.proto.StreamVersions value) {
+      if (streamVersionsBuilder_ == null) {
+        if (messageCase_ == 12 &&
+            message_ != io.masticfold.gateway.peer.proto.StreamVersions.getDefaultInstance()) {
+          message_ = io.masticfold.gateway.peer.proto.StreamVersions.newBuilder((io.masticfold.gateway.peer.proto.StreamVersions) message_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          message_ = value;
+        }
+        onChanged();
+      } else {
+        if (messageCase_ == 12) {
+          streamVersionsBuilder_.mergeFrom(value);
+        } else {
+          streamVersionsBuilder_.setMessage(value);
+        }
+      }
+      messageCase_ = 12;
+      return this;
+    }
+    /**
+     * <code>.masticfold.gateway.StreamVersions stream_versions = 12;</code>
+     */
+    public Builder clearStreamVersions() {
+      if (streamVersionsBuilder_ == null) {
+        if (messageCase_ == 12) {
+          messageCase_ = 0;
+          message_ = null;
+          onChanged();
+        }
+      } else {
+        if (messageCase_ == 12) {
+          messageCase_ = 0;
+          message_ = null;
+        }
+        streamVersionsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.masticfold.gateway.StreamVersions stream_versions = 12;</code>
+     */
+    public io.masticfold.gateway.peer.proto.StreamVersions.Builder getStreamVersionsBuilder() {
+      return internalGetStreamVersionsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.masticfold.gateway.StreamVersions stream_versions = 12;</code>
+     */
+    @java.lang.Override
+    public io.masticfold.gateway.peer.proto.StreamVersionsOrBuilder getStreamVersionsOrBuilder() {
+      if ((messageCase_ == 12) && (streamVersionsBuilder_ != null)) {
+        return streamVersionsBuilder_.getMessageOrBuilder();
+      } else {
+        if (messageCase_ == 12) {
+          return (io.masticfold.gateway.peer.proto.StreamVersions) message_;
+        }
+        return io.masticfold.gateway.peer.proto.StreamVersions.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.masticfold.gateway.StreamVersions stream_versions = 12;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.masticfold.gateway.peer.proto.StreamVersions, io.masticfold.gateway.peer.proto.StreamVersions.Builder, io.masticfold.gateway.peer.proto.StreamVersionsOrBuilder> 
+        internalGetStreamVersionsFieldBuilder() {
+      if (streamVersionsBuilder_ == null) {
+        if (!(messageCase_ == 12)) {
+          message_ = io.masticfold.gateway.peer.proto.StreamVersions.getDefaultInstance();
+        }
+        streamVersionsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.masticfold.gateway.peer.proto.StreamVersions, io.masticfold.gateway.peer.proto.StreamVersions.Builder, io.masticfold.gateway.peer.proto.StreamVersionsOrBuilder>(
+                (io.masticfold.gateway.peer.proto.StreamVersions) message_,
+                getParentForChildren(),
+                isClean());
+        message_ = null;
+      }
+      messageCase_ = 12;
+      onChanged();
+      return streamVersionsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:masticfold.gateway.PeerFrame)
   }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerFrameOrBuilder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerFrameOrBuilder.java
@@ -175,5 +175,20 @@
    */
   io.masticfold.gateway.peer.proto.NamedLimitsOrBuilder getNamedLimitsOrBuilder();
 
+  /**
+   * <code>.masticfold.gateway.StreamVersions stream_versions = 12;</code>
+   * @return Whether the streamVersions field is set.
+   */
+  boolean hasStreamVersions();
+  /**
+   * <code>.masticfold.gateway.StreamVersions stream_versions = 12;</code>
+   * @return The streamVersions.
+   */
+  io.masticfold.gateway.peer.proto.StreamVersions getStreamVersions();
+  /**
+   * <code>.masticfold.gateway.StreamVersions stream_versions = 12;</code>
+   */
+  io.masticfold.gateway.peer.proto.StreamVersionsOrBuilder getStreamVersionsOrBuilder();
+
   io.masticfold.gateway.peer.proto.PeerFrame.MessageCase getMessageCase();
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StoreDialect.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StoreDialect.java
@@ -30,6 +30,16 @@
     /** Encodes an object that names a prompt part that crashes targets. */
     byte[] encodeQuarantinedPart(String part);
 
+    /** Encodes an object with a gateway's record of streams. */
+    byte[] encodeStreamRecord(String name, StreamRecord record);
+
+    /**
+     * Decodes a gateway's record of streams.
+     *
+     * @return empty if the object is malformed
+     */
+    Optional<StreamRecord> decodeStreamRecord(StoreObject object);
+
     /** Encodes an object that describes this gateway. */
     byte[] encodeGateway(String name, GatewayAddress gateway);
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StoreKind.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StoreKind.java
@@ -11,5 +11,7 @@
     /** Entries that gateways write about themselves. */
     GATEWAYS,
     /** Prompt parts and requests that crash targets. */
-    QUARANTINED_PARTS
+    QUARANTINED_PARTS,
+    /** Software versions that began streams, one object for each gateway. */
+    STREAM_RECORDS
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
@@ -19,6 +19,7 @@
 import io.masticfold.gateway.protocol.CallerMetadata;
 import io.masticfold.gateway.protocol.PromptPart;
 import io.masticfold.gateway.quarantine.PoisonQuarantine;
+import io.masticfold.gateway.resume.StreamVersionRegistry;
 import io.masticfold.gateway.stage.StageAdmissionQueue;
 import io.masticfold.gateway.stage.StageDispatcher;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -33,12 +34,6 @@
 /** Routes the requests of callers and starts a {@link RequestRun} for each. Used by one thread. */
 public final class ForwardHandler implements RequestHandler {
 
-    /**
-     * Age above which the configuration may lack routes and keys that are in force. A watch that is answered just
-     * before its timeout (3.2 s), with the pause before it (20 ms), stays below this age.
-     */
-    private static final Duration MAX_CONFIG_AGE = Duration.ofSeconds(4);
-
     /** Number of route priorities within one workspace priority. */
     private static final int ROUTE_PRIORITIES = 3;
 
@@ -53,6 +48,7 @@
             StageAdmissionQueue gate,
             TargetPools targets,
             PoisonQuarantine quarantine,
+            StreamVersionRegistry versions,
             TargetRateLimits limits) {
         this.context = context;
         this.services = new RequestServices(
@@ -61,6 +57,7 @@
                 targets,
                 new TargetRequestBuilder(context.protocol().headers()),
                 quarantine,
+                versions,
                 limits);
         quarantine.addListener(suspect -> List.copyOf(active).forEach(run -> run.suspectQuarantined(suspect)));
     }
@@ -138,8 +135,7 @@
 
     /** Returns the kind, or {@link ErrorKind#NO_CONFIGURATION} if a newer configuration may hold the route or key. */
     private ErrorKind unlessConfigStale(ErrorKind kind) {
-        Duration age = context.view().configAge(context.scheduler().nanoTime());
-        return age.compareTo(MAX_CONFIG_AGE) > 0 ? ErrorKind.NO_CONFIGURATION : kind;
+        return context.view().stale(context.scheduler().nanoTime()) ? ErrorKind.NO_CONFIGURATION : kind;
     }
 
     /** Refuses every request without a send in progress, since the gateway is shutting down. */
@@ -160,7 +156,7 @@
                 request,
                 metadata,
                 route,
-                route.choosePool(ThreadLocalRandom.current().nextDouble()),
+                pool(metadata, route),
                 workspaceName,
                 RequestFingerprint.of(
                         request.method().name(), host(request), request.uri(), workspaceName, request.body()),
@@ -174,6 +170,15 @@
                 config.version());
     }
 
+    /** Returns the pool in which a stream that is taken up began, if the route still has it, or a random one. */
+    private String pool(CallerMetadata metadata, ForwardRoute route) {
+        return services.versions()
+                .pool(metadata.resumedAttempt())
+                .filter(pool ->
+                        route.pools().stream().anyMatch(share -> share.pool().equals(pool)))
+                .orElseGet(() -> route.choosePool(ThreadLocalRandom.current().nextDouble()));
+    }
+
     private static int priority(ForwardRoute route, Optional<WorkspaceSpec> workspace) {
         int priority = workspace
                 .map(WorkspaceSpec::priority)
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRecorder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRecorder.java
@@ -78,6 +78,19 @@
                 .log();
     }
 
+    /** Logs that a stream does not go on. */
+    void recordNotResumed(TargetChoice refusal) {
+        context.telemetry().count(refusal.refusal().code());
+        context.log()
+                .important(GatewayEvent.STREAM_NOT_RESUMED)
+                .addKeyValue("request", routed.metadata().attemptId())
+                .addKeyValue("resumes", routed.metadata().resumedAttempt())
+                .addKeyValue("lastEventId", routed.metadata().lastEventId())
+                .addKeyValue("reason", refusal.refusal().code())
+                .addKeyValue("detail", refusal.detail())
+                .log();
+    }
+
     void recordFirstEvent() {
         firstEventMillis = sinceStart();
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -1,8 +1,11 @@
 package io.masticfold.gateway.request;
 
+import io.masticfold.core.directory.TargetRecord;
 import io.masticfold.core.error.ErrorKind;
 import io.masticfold.core.error.Ran;
+import io.masticfold.core.forward.RequestKind;
 import io.masticfold.core.forward.SendOutcome;
+import io.masticfold.core.resume.VersionRequirement;
 import io.masticfold.core.stream.StreamEvent;
 import io.masticfold.core.time.Cancellable;
 import io.masticfold.core.time.Deadline;
@@ -18,6 +21,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
@@ -52,6 +56,7 @@
     private Cancellable timer = Cancellable.NONE;
     private @Nullable TargetResponseReceiver send;
     private List<String> inputs = List.of();
+    private VersionRequirement version = VersionRequirement.NONE;
     private boolean ended;
 
     RequestRun(
@@ -76,7 +81,10 @@
 
     void start() {
         timer = context.scheduler().schedule(deadline.remaining(context.scheduler()), this::expire);
-        if (routed.route().stages().isEmpty()) {
+        Optional<TargetChoice> notResumable = selection.notResumable(routed, requiredVersion());
+        if (notResumable.isPresent()) {
+            refuse(notResumable.get());
+        } else if (routed.route().stages().isEmpty()) {
             sendToTarget();
         } else {
             runStages();
@@ -130,7 +138,7 @@
     }
 
     private void chooseTarget() {
-        TargetChoice choice = selection.choose(routed, history, stages.resultBytesByZone());
+        TargetChoice choice = selection.choose(routed, history, requiredVersion(), stages.resultBytesByZone());
         if (choice.target() == null) {
             refuse(choice);
         } else {
@@ -138,7 +146,17 @@
         }
     }
 
+    private VersionRequirement requiredVersion() {
+        return version.kind() == VersionRequirement.Kind.NONE && routed.takesUpStream()
+                ? services.versions()
+                        .requirement(routed.pool(), routed.metadata().resumedAttempt())
+                : version;
+    }
+
     private void refuse(TargetChoice choice) {
+        if (choice.refusal() == ErrorKind.STREAM_ORIGIN_UNKNOWN || choice.refusal() == ErrorKind.STREAM_VERSION_GONE) {
+            recorder.recordNotResumed(choice);
+        }
         fail(choice.refusal(), choice.detail(), choice.estimatedWait());
     }
 
@@ -187,11 +205,13 @@
     }
 
     /**
-     * Called for each event forwarded to the caller; at the first one the target has read all stage results.
+     * Called for each event forwarded to the caller; at the first one the target has read all stage results, and the
+     * stream is bound to its software version.
      *
+     * @param target target that wrote the event
      * @param numberInSend number of the event among those of the current send, from 1
      */
-    void eventForwarded(StreamEvent event, int numberInSend) {
+    void eventForwarded(TargetTracker target, StreamEvent event, int numberInSend) {
         if (numberInSend == EVENT_OF_A_BEGUN_ANSWER) {
             services.quarantine().recordCleared(routed.metadata().sharedPartIds());
         }
@@ -199,11 +219,21 @@
             watchdog.progressed();
         }
         if (!recorder.hasFirstEvent()) {
+            bindToVersion(target.target());
             recorder.recordFirstEvent();
             stages.release();
         }
     }
 
+    private void bindToVersion(TargetRecord target) {
+        version = VersionRequirement.exactly(target.softwareVersion());
+        if (routed.route().kind() == RequestKind.RESUMABLE_STREAM) {
+            String resumed = routed.metadata().resumedAttempt();
+            services.versions()
+                    .recordBegun(resumed.isEmpty() ? routed.metadata().attemptId() : resumed, target);
+        }
+    }
+
     /** Pauses the watchdog while a slow caller, not the target, holds up the stream. */
     private void pauseWatchdog(boolean paused) {
         if (paused) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestServices.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestServices.java
@@ -2,6 +2,7 @@
 
 import io.masticfold.gateway.limit.TargetRateLimits;
 import io.masticfold.gateway.quarantine.PoisonQuarantine;
+import io.masticfold.gateway.resume.StreamVersionRegistry;
 import io.masticfold.gateway.stage.StageAdmissionQueue;
 import io.masticfold.gateway.stage.StageDispatcher;
 
@@ -13,6 +14,7 @@
  * @param targets pools of targets
  * @param requestBuilder builds the requests sent to targets
  * @param quarantine knows the requests and prompt parts that crash targets
+ * @param versions knows the software versions that began streams
  * @param limits knows the rate limits that targets name
  */
 record RequestServices(
@@ -21,4 +23,5 @@
         TargetPools targets,
         TargetRequestBuilder requestBuilder,
         PoisonQuarantine quarantine,
+        StreamVersionRegistry versions,
         TargetRateLimits limits) {}
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RoutedRequest.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RoutedRequest.java
@@ -1,6 +1,7 @@
 package io.masticfold.gateway.request;
 
 import io.masticfold.core.forward.ForwardRoute;
+import io.masticfold.core.forward.RequestKind;
 import io.masticfold.core.placement.PromptPrefix;
 import io.masticfold.core.quarantine.SuspectKind;
 import io.masticfold.core.time.Deadline;
@@ -41,6 +42,13 @@
     /** Largest number of prompt parts in a log line. */
     private static final int MAX_LOGGED_PARTS = 8;
 
+    /** Returns whether the caller takes up a stream of which it has events. */
+    boolean takesUpStream() {
+        return route.kind() == RequestKind.RESUMABLE_STREAM
+                && !(metadata.lastEventId().isEmpty()
+                        && metadata.resumedAttempt().isEmpty());
+    }
+
     /** Returns what may crash targets: the name of the request and the ids of the shared parts of its prompt. */
     List<String> suspects() {
         List<String> suspects = new ArrayList<>(metadata.sharedPartIds());
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetPool.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetPool.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 
 /** Selects targets of one pool and tracks the state of each. Used by one thread. */
@@ -44,15 +45,19 @@
      * @param spec configuration of the pool
      * @param prompt shared prefix of the request's prompt
      * @param resultBytes size of the stage results that the request reads, in bytes, by availability zone
-     * @param excluded ids of targets that must not be used
+     * @param excluded tells the targets that must not be used
      * @param gateways number of gateways that share the rate limit of a cold target
      */
     Optional<TargetTracker> choose(
-            PoolSpec spec, PromptPrefix prompt, Map<String, Long> resultBytes, Set<String> excluded, int gateways) {
+            PoolSpec spec,
+            PromptPrefix prompt,
+            Map<String, Long> resultBytes,
+            Predicate<TargetRecord> excluded,
+            int gateways) {
         long now = context.scheduler().nanoTime();
         List<TargetRecord> usable = context.view().directory().usable(name);
         List<TargetLoadView> candidates = usable.stream()
-                .filter(target -> !excluded.contains(target.id()))
+                .filter(excluded.negate())
                 .map(target -> state(target, now))
                 .filter(state -> withinColdLimit(spec, state, gateways, now))
                 .filter(state -> limits.waitTime(state.target()).isZero())
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
@@ -154,7 +154,7 @@
                     abort("event " + event.id() + " does not follow " + stream.lastEventId());
                     return;
                 }
-                run.eventForwarded(event, eventsSeen);
+                run.eventForwarded(target, event, eventsSeen);
             }
         } catch (IllegalStateException e) {
             abort(String.valueOf(e.getMessage()));
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetSelection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetSelection.java
@@ -3,7 +3,9 @@
 import io.masticfold.core.error.ErrorKind;
 import io.masticfold.core.forward.ForwardConfig;
 import io.masticfold.core.forward.PoolSpec;
+import io.masticfold.core.forward.RequestKind;
 import io.masticfold.core.quarantine.SuspectKind;
+import io.masticfold.core.resume.VersionRequirement;
 import io.masticfold.gateway.context.GatewayContext;
 import java.time.Duration;
 import java.util.Map;
@@ -15,6 +17,9 @@
     /** Delay told to the caller of a quarantined request. */
     static final Duration QUARANTINE_RETRY_AFTER = Duration.ofSeconds(30);
 
+    /** Delay told to the caller of a stream whose software version has left. */
+    private static final Duration VERSION_GONE_RETRY_AFTER = Duration.ofSeconds(30);
+
     private final GatewayContext context;
     private final RequestServices services;
 
@@ -27,25 +32,26 @@
      * Chooses the target of the next send.
      *
      * @param history sends of the request so far
+     * @param version software version that the target must have
      * @param resultBytes size of the stage results that the request reads, in bytes, by availability zone
      */
-    TargetChoice choose(RoutedRequest routed, SendHistory history, Map<String, Long> resultBytes) {
+    TargetChoice choose(
+            RoutedRequest routed, SendHistory history, VersionRequirement version, Map<String, Long> resultBytes) {
         Optional<String> quarantined = services.quarantine().find(routed.suspects());
         if (quarantined.isPresent()) {
             return quarantined(quarantined.get());
         }
+        Optional<TargetChoice> notResumable = notResumable(routed, version);
+        if (notResumable.isPresent()) {
+            return notResumable.get();
+        }
         ForwardConfig config = context.view().config();
         Optional<PoolSpec> spec = config == null ? Optional.empty() : config.pool(routed.pool());
         if (spec.isEmpty()) {
             return TargetChoice.none(ErrorKind.NO_TARGET, "pool " + routed.pool() + " is not configured");
         }
         TargetPool pool = services.targets().pool(routed.pool());
-        Optional<TargetTracker> target = pool.choose(
-                spec.get(),
-                routed.prompt(),
-                resultBytes,
-                history.failedTargets(),
-                context.view().sharingGateways());
+        Optional<TargetTracker> target = choose(pool, spec.get(), routed, history, version, resultBytes);
         if (target.isEmpty()) {
             return pool.waitForLimit(history.failedTargets())
                     .map(wait -> TargetChoice.none(
@@ -59,6 +65,58 @@
                         ErrorKind.TARGET_UNREACHABLE, "targets in pool " + routed.pool() + " cannot be reached");
     }
 
+    private Optional<TargetTracker> choose(
+            TargetPool pool,
+            PoolSpec spec,
+            RoutedRequest routed,
+            SendHistory history,
+            VersionRequirement version,
+            Map<String, Long> resultBytes) {
+        int gateways = context.view().sharingGateways();
+        boolean begins =
+                version.kind() == VersionRequirement.Kind.NONE && routed.route().kind() == RequestKind.RESUMABLE_STREAM;
+        if (begins) {
+            Optional<TargetTracker> recorded = pool.choose(
+                    spec,
+                    routed.prompt(),
+                    resultBytes,
+                    target -> history.failedTargets().contains(target.id())
+                            || !services.versions().mayBeginStreams(target),
+                    gateways);
+            if (recorded.isPresent()) {
+                return recorded;
+            }
+        }
+        return pool.choose(
+                spec,
+                routed.prompt(),
+                resultBytes,
+                target -> history.failedTargets().contains(target.id()) || !version.allows(target),
+                gateways);
+    }
+
+    /** Returns the refusal of a stream that cannot go on at the version that it requires; empty if it can. */
+    Optional<TargetChoice> notResumable(RoutedRequest routed, VersionRequirement version) {
+        return switch (version.kind()) {
+            case NONE -> Optional.empty();
+            case UNKNOWN ->
+                Optional.of(TargetChoice.none(
+                        ErrorKind.STREAM_ORIGIN_UNKNOWN,
+                        "the software version that began the stream of attempt "
+                                + routed.metadata().resumedAttempt() + " is not known"));
+            case EXACTLY -> {
+                boolean serves = context.view().directory().usable(routed.pool()).stream()
+                        .anyMatch(version::allows);
+                yield serves
+                        ? Optional.empty()
+                        : Optional.of(TargetChoice.none(
+                                ErrorKind.STREAM_VERSION_GONE,
+                                "no target of software version " + version.version() + " serves any more",
+                                VERSION_GONE_RETRY_AFTER));
+            }
+        };
+    }
+
     /** Returns the refusal of a request that is quarantined or whose prompt has a quarantined part. */
     static TargetChoice quarantined(String suspect) {
         String what = SuspectKind.of(suspect) == SuspectKind.REQUEST ? suspect : "prompt part " + suspect;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/ObjectStoreClient.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/ObjectStoreClient.java
@@ -40,6 +40,11 @@
         call(HttpMethod.POST, uri, body, timeout, receiver);
     }
 
+    /** Sends a PUT request that replaces an object that exists and passes the result to the receiver. */
+    public void replace(String uri, byte[] body, Duration timeout, Consumer<CallResult> receiver) {
+        call(HttpMethod.PUT, uri, body, timeout, receiver);
+    }
+
     /** Sends a DELETE request for an object and passes the result to the receiver. */
     public void delete(String uri, Duration timeout, Consumer<CallResult> receiver) {
         call(HttpMethod.DELETE, uri, NO_BODY, timeout, receiver);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformView.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformView.java
@@ -15,6 +15,7 @@
 
     private final AtomicReference<@Nullable ForwardConfig> config = new AtomicReference<>();
     private static final int MIN_SHARING_GATEWAYS = 4;
+    private static final Duration MAX_AGE = Duration.ofSeconds(4);
 
     private final AtomicLong confirmedNanos = new AtomicLong();
 
@@ -48,6 +49,14 @@
         return Duration.ofNanos(nowNanos - confirmedNanos.get());
     }
 
+    /**
+     * Returns whether the store has not confirmed this view for so long that others may know more. A watch that is
+     * answered just before its timeout (3.2 s), with the pause before it (20 ms), stays below this time.
+     */
+    public boolean stale(long nowNanos) {
+        return configAge(nowNanos).compareTo(MAX_AGE) > 0;
+    }
+
     /** Returns the current targets. */
     public TargetDirectory directory() {
         return directory.get();
