Hand out ports to tests that no other socket is given meanwhile

HttpServerTests binds port 0 and asks the server for its address. The product retries no bind. ClassArchiveTraining, a step of the build, keeps its own search for ports.

FreePortsTests; PlatformStateTests and HttpServerTests pass.

--- a/masticfold-cli/src/test/java/io/masticfold/cli/process/AgentProcess.java
+++ b/masticfold-cli/src/test/java/io/masticfold/cli/process/AgentProcess.java
@@ -1,6 +1,7 @@
 package io.masticfold.cli.process;
 
 import io.masticfold.cli.Masticfold;
+import io.masticfold.testkit.net.FreePorts;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
--- a/masticfold-cli/src/test/java/io/masticfold/cli/process/ObjectApiProcess.java
+++ b/masticfold-cli/src/test/java/io/masticfold/cli/process/ObjectApiProcess.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.masticfold.testkit.StandInMain;
+import io.masticfold.testkit.net.FreePorts;
 import io.masticfold.testkit.object.ObjectApiFault;
 import java.io.IOException;
 import java.net.InetSocketAddress;
--- a/masticfold-cli/src/test/java/io/masticfold/cli/process/SmallDeployment.java
+++ b/masticfold-cli/src/test/java/io/masticfold/cli/process/SmallDeployment.java
@@ -2,6 +2,7 @@
 
 import io.masticfold.core.model.TargetKind;
 import io.masticfold.testkit.StandInMain;
+import io.masticfold.testkit.net.FreePorts;
 import io.masticfold.testkit.relay.TcpRelay;
 import java.io.IOException;
 import java.net.InetAddress;
--- a/masticfold-cli/src/test/java/io/masticfold/cli/process/TargetProcess.java
+++ b/masticfold-cli/src/test/java/io/masticfold/cli/process/TargetProcess.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.masticfold.core.model.TargetKind;
 import io.masticfold.testkit.StandInMain;
+import io.masticfold.testkit.net.FreePorts;
 import io.masticfold.testkit.targets.TargetFault;
 import java.io.IOException;
 import java.net.InetSocketAddress;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpServer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpServer.java
@@ -92,6 +92,19 @@
                 .channel();
     }
 
+    /**
+     * Returns the address of the listening socket.
+     *
+     * @throws IllegalStateException if the server has not been started
+     */
+    public InetSocketAddress address() {
+        Channel listening = channel;
+        if (listening == null) {
+            throw new IllegalStateException("server has not been started");
+        }
+        return (InetSocketAddress) listening.localAddress();
+    }
+
     /** Closes each connection after its next response, which announces it. */
     public void drain() {
         draining = true;
--- a/masticfold-gateway/src/test/java/io/masticfold/gateway/http/HttpServerTests.java
+++ b/masticfold-gateway/src/test/java/io/masticfold/gateway/http/HttpServerTests.java
@@ -12,7 +12,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -34,12 +33,11 @@
     private InetSocketAddress address;
 
     @BeforeEach
-    void start() throws IOException, InterruptedException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            address = new InetSocketAddress(free.getInetAddress(), free.getLocalPort());
-        }
-        new HttpServer(group, TimeSource.system(), () -> RequestLimits.DEFAULT, this::serve, _reason -> {})
-                .start(address);
+    void start() throws InterruptedException {
+        HttpServer server =
+                new HttpServer(group, TimeSource.system(), () -> RequestLimits.DEFAULT, this::serve, _reason -> {});
+        server.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        address = server.address();
     }
 
     @AfterEach
