--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -1,7 +1,6 @@
 package io.masticfold.gateway;
 
 import io.masticfold.core.forward.RequestLimits;
-import io.masticfold.core.quarantine.SuspectKind;
 import io.masticfold.core.retry.RetryBudget;
 import io.masticfold.core.retry.SlidingWindowRetryBudget;
 import io.masticfold.core.time.PauseGuard;
@@ -150,16 +149,8 @@
     }
 
     private HttpServer metricsServer(TimeSource time, GatewayMetrics meters) {
-        meters.gauge("masticfold.targets.known", () -> view.directory().size());
-        meters.gauge("masticfold.peers.reachable", () -> peers.reachable().size());
-        meters.gauge("masticfold.requests.waiting", admissionQueue::waiting);
-        meters.gauge("masticfold.callers.connections", front::connections);
-        meters.gauge("masticfold.connections.opened", client::opened);
-        meters.gauge("masticfold.prompt.parts.quarantined", () -> quarantine.quarantined(SuspectKind.PROMPT_PART));
-        meters.gauge("masticfold.requests.quarantined", () -> quarantine.quarantined(SuspectKind.REQUEST));
-        meters.gauge("masticfold.targets.limited", limits::limitedTargets);
-        meters.gauge("masticfold.store.reachable", () -> platformWatcher.storeReachable() ? 1 : 0);
-        meters.gauge("masticfold.configuration.version", view::configVersion);
+        new GatewayGauges(view, peers, quarantine, limits, platformWatcher, admissionQueue, front, client)
+                .register(meters);
         return new HttpServer(
                 group,
                 time,
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayGauges.java
@@ -0,0 +1,37 @@
+package io.masticfold.gateway;
+
+import io.masticfold.core.quarantine.SuspectKind;
+import io.masticfold.gateway.http.HttpClient;
+import io.masticfold.gateway.http.HttpServer;
+import io.masticfold.gateway.limit.TargetRateLimits;
+import io.masticfold.gateway.log.GatewayMetrics;
+import io.masticfold.gateway.peer.PeerLinks;
+import io.masticfold.gateway.quarantine.PoisonQuarantine;
+import io.masticfold.gateway.stage.StageAdmissionQueue;
+import io.masticfold.gateway.store.PlatformView;
+import io.masticfold.gateway.store.PlatformWatcher;
+
+/** Gauges of the metrics page, and what each of them reads. */
+record GatewayGauges(
+        PlatformView view,
+        PeerLinks peers,
+        PoisonQuarantine quarantine,
+        TargetRateLimits limits,
+        PlatformWatcher platformWatcher,
+        StageAdmissionQueue admissionQueue,
+        HttpServer front,
+        HttpClient client) {
+
+    void register(GatewayMetrics meters) {
+        meters.gauge("masticfold.targets.known", () -> view.directory().size());
+        meters.gauge("masticfold.peers.reachable", () -> peers.reachable().size());
+        meters.gauge("masticfold.prompt.parts.quarantined", () -> quarantine.quarantined(SuspectKind.PROMPT_PART));
+        meters.gauge("masticfold.requests.quarantined", () -> quarantine.quarantined(SuspectKind.REQUEST));
+        meters.gauge("masticfold.requests.waiting", admissionQueue::waiting);
+        meters.gauge("masticfold.callers.connections", front::connections);
+        meters.gauge("masticfold.connections.opened", client::opened);
+        meters.gauge("masticfold.targets.limited", limits::limitedTargets);
+        meters.gauge("masticfold.store.reachable", () -> platformWatcher.storeReachable() ? 1 : 0);
+        meters.gauge("masticfold.configuration.version", view::configVersion);
+    }
+}
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -1,11 +1,8 @@
 package io.masticfold.gateway.request;
 
-import io.masticfold.core.directory.TargetRecord;
 import io.masticfold.core.error.ErrorKind;
 import io.masticfold.core.error.Ran;
-import io.masticfold.core.forward.RequestKind;
 import io.masticfold.core.forward.SendOutcome;
-import io.masticfold.core.resume.VersionRequirement;
 import io.masticfold.core.stream.StreamEvent;
 import io.masticfold.core.time.Cancellable;
 import io.masticfold.core.time.Deadline;
@@ -53,10 +50,10 @@
     private final Deadline deadline;
     private final List<String> suspects;
     private final TargetSelection selection;
+    private final StreamVersionBinding binding;
     private Cancellable timer = Cancellable.NONE;
     private @Nullable TargetResponseReceiver send;
     private List<String> inputs = List.of();
-    private VersionRequirement version = VersionRequirement.NONE;
     private boolean ended;
 
     RequestRun(
@@ -74,6 +71,7 @@
         this.progress = routed.route().kind().streaming() ? new StreamProgress(callerResponse) : null;
         this.deadline = routed.deadline();
         this.selection = new TargetSelection(context, services);
+        this.binding = new StreamVersionBinding(routed, services.versions());
         this.suspects = routed.suspects();
         this.stages = new RequestStages(services, routed);
         this.watchdog = new StreamWatchdog(context.scheduler(), routed.route().eventPatience(), this::stalled);
@@ -81,7 +79,7 @@
 
     void start() {
         timer = context.scheduler().schedule(deadline.remaining(context.scheduler()), this::expire);
-        Optional<TargetChoice> notResumable = selection.notResumable(routed, requiredVersion());
+        Optional<TargetChoice> notResumable = selection.notResumable(routed, binding.requirement());
         if (notResumable.isPresent()) {
             refuse(notResumable.get());
         } else if (routed.route().stages().isEmpty()) {
@@ -138,7 +136,7 @@
     }
 
     private void chooseTarget() {
-        TargetChoice choice = selection.choose(routed, history, requiredVersion(), stages.resultBytesByZone());
+        TargetChoice choice = selection.choose(routed, history, binding.requirement(), stages.resultBytesByZone());
         if (choice.target() == null) {
             refuse(choice);
         } else {
@@ -146,13 +144,6 @@
         }
     }
 
-    private VersionRequirement requiredVersion() {
-        return version.kind() == VersionRequirement.Kind.NONE && routed.takesUpStream()
-                ? services.versions()
-                        .requirement(routed.pool(), routed.metadata().resumedAttempt())
-                : version;
-    }
-
     private void refuse(TargetChoice choice) {
         if (choice.refusal() == ErrorKind.STREAM_ORIGIN_UNKNOWN || choice.refusal() == ErrorKind.STREAM_VERSION_GONE) {
             recorder.recordNotResumed(choice);
@@ -219,21 +210,12 @@
             watchdog.progressed();
         }
         if (!recorder.hasFirstEvent()) {
-            bindToVersion(target.target());
+            binding.firstEventFrom(target.target());
             recorder.recordFirstEvent();
             stages.release();
         }
     }
 
-    private void bindToVersion(TargetRecord target) {
-        version = VersionRequirement.exactly(target.softwareVersion());
-        if (routed.route().kind() == RequestKind.RESUMABLE_STREAM) {
-            String resumed = routed.metadata().resumedAttempt();
-            services.versions()
-                    .recordBegun(resumed.isEmpty() ? routed.metadata().attemptId() : resumed, target);
-        }
-    }
-
     /** Pauses the watchdog while a slow caller, not the target, holds up the stream. */
     private void pauseWatchdog(boolean paused) {
         if (paused) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/resume/StreamVersionRegistry.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/resume/StreamVersionRegistry.java
@@ -38,11 +38,11 @@
     /** Interval at which versions are looked at and origins are sent to the peers. */
     private static final Duration SHARE_INTERVAL = Duration.ofMillis(50);
 
-    /** Shortest interval between writes of one gateway to the store. */
-    private static final Duration MIN_WRITE_INTERVAL = Duration.ofMillis(250);
+    /** Mean time between the writes of all gateways together, each of which writes only after new streams. */
+    private static final Duration WRITE_SPACING = Duration.ofMillis(20);
 
-    /** Time between the writes of any two gateways, so that all of them stay below 200 writes a second. */
-    private static final Duration WRITE_SPACING = Duration.ofMillis(5);
+    /** Time after which an unchanged record is written again, since the store may have been restored from a copy. */
+    private static final Duration REFRESH_INTERVAL = Duration.ofSeconds(30);
 
     /** Time after which a version begins streams although the store has not accepted the record of it. */
     private static final Duration MAX_RECORD_DELAY = Duration.ofSeconds(1);
@@ -74,6 +74,7 @@
     private boolean unwritten = true;
     private boolean writing;
     private long nextWriteNanos;
+    private long writtenNanos;
 
     /** Creates a registry that knows no streams. */
     public StreamVersionRegistry(
@@ -92,6 +93,7 @@
         links = peerLinks;
         startedNanos = scheduler.nanoTime();
         nextWriteNanos = startedNanos;
+        writtenNanos = startedNanos;
         store.read(this::merge, () -> complete = true);
         shareRepeatedly();
     }
@@ -196,6 +198,7 @@
     }
 
     private void writeIfDue() {
+        unwritten |= scheduler.nanoTime() - writtenNanos > REFRESH_INTERVAL.toNanos();
         // The records of the time before the start are read before this gateway's own is replaced.
         if (!unwritten || writing || !complete || scheduler.nanoTime() - nextWriteNanos < 0) {
             return;
@@ -205,21 +208,18 @@
         Map<String, Set<String>> versions = history.versions();
         store.write(new StreamRecord(versions, streamsOfMixedPools()), written -> {
             writing = false;
-            nextWriteNanos = scheduler.nanoTime() + writeInterval().toNanos();
+            nextWriteNanos = scheduler.nanoTime()
+                    + WRITE_SPACING.multipliedBy(view.sharingGateways()).toNanos();
             if (written) {
-                versions.forEach((pool, names) ->
-                        recorded.computeIfAbsent(pool, _key -> new HashSet<>()).addAll(names));
+                recorded.clear();
+                recorded.putAll(versions);
+                writtenNanos = scheduler.nanoTime();
             } else {
                 unwritten = true;
             }
         });
     }
 
-    private Duration writeInterval() {
-        Duration shared = WRITE_SPACING.multipliedBy(view.sharingGateways());
-        return shared.compareTo(MIN_WRITE_INTERVAL) > 0 ? shared : MIN_WRITE_INTERVAL;
-    }
-
     private List<StreamRecord.Stream> streamsOfMixedPools() {
         List<StreamRecord.Stream> streams = history.versions().keySet().stream()
                 .filter(history::mixed)
