second1: write a record of streams only when there is something to say

Found on reading: without a route whose streams can be taken up the window was zero, so that every version expired in the same turn in which it was seen, was logged and told to the peers as new every 50 ms, and the record was written every 80 ms. A write that the store refused was repeated as fast.

Change: the window falls back to 30 s while no such route is known; a refused write is repeated after a second.

Evidence: StreamVersionTests.recordsAreWrittenWithoutEnd failed in both cases (20 writes in two seconds where 6 are allowed: one for each version that is seen, and one a second while the store refuses), passes now with all 13 cases.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/resume/StreamVersionRegistry.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/resume/StreamVersionRegistry.java
@@ -41,6 +41,9 @@
     /** Mean time between the writes of all gateways together, each of which writes only after new streams. */
     private static final Duration WRITE_SPACING = Duration.ofMillis(20);
 
+    /** Additional delay before a write that the store has not accepted is repeated. */
+    private static final Duration RETRY_DELAY = Duration.ofSeconds(1);
+
     /** Time after which an unchanged record is written again, since the store may have been restored from a copy. */
     private static final Duration REFRESH_INTERVAL = Duration.ofSeconds(30);
 
@@ -50,7 +53,7 @@
     /** Largest number of streams in the record of one gateway. */
     private static final int MAX_RECORDED_STREAMS = 2000;
 
-    /** Window before a configuration is known. */
+    /** Window while no route is known whose streams can be taken up. */
     private static final Duration DEFAULT_WINDOW = Duration.ofSeconds(30);
 
     /** Tries of a caller, which end with its deadline, may follow one another for longer than one timeout. */
@@ -100,9 +103,8 @@
 
     private Duration window() {
         ForwardConfig config = view.config();
-        return config == null
-                ? DEFAULT_WINDOW
-                : config.longestResumableTimeout().multipliedBy(WINDOW_TIMEOUTS);
+        Duration timeout = config == null ? Duration.ZERO : config.longestResumableTimeout();
+        return timeout.isZero() ? DEFAULT_WINDOW : timeout.multipliedBy(WINDOW_TIMEOUTS);
     }
 
     /**
@@ -208,8 +210,8 @@
         Map<String, Set<String>> versions = history.versions();
         store.write(new StreamRecord(versions, streamsOfMixedPools()), written -> {
             writing = false;
-            nextWriteNanos = scheduler.nanoTime()
-                    + WRITE_SPACING.multipliedBy(view.sharingGateways()).toNanos();
+            Duration spacing = WRITE_SPACING.multipliedBy(view.sharingGateways());
+            nextWriteNanos = scheduler.nanoTime() + (written ? spacing : spacing.plus(RETRY_DELAY)).toNanos();
             if (written) {
                 recorded.clear();
                 recorded.putAll(versions);
