--- a/review/standins/HttpStandIn.java
+++ b/review/standins/HttpStandIn.java
@@ -75,7 +75,7 @@
     /** Answers a request; returns whether the connection stays open. */
     abstract boolean answer(Message request, Socket socket) throws IOException, InterruptedException;
 
-    /** Ends like a killed process: connections are reset and new ones are refused. */
+    /** Resets all connections; new ones are refused. */
     final void crash() throws IOException {
         listener.close();
         for (Socket socket : connections) {
@@ -87,6 +87,14 @@
         }
     }
 
+    /** Ends like a process that exits: its connections are closed, and new ones are refused. */
+    final void end() throws IOException {
+        listener.close();
+        for (Socket socket : connections) {
+            socket.close();
+        }
+    }
+
     /** Listens again on the same port. */
     final void restart() throws IOException {
         listener = open(port);
