--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -1,8 +1,10 @@
 package review;
 
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
 
 /** Runs one case. Exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run. */
 abstract class Case {
@@ -27,9 +29,23 @@
         } catch (Exception e) {
             e.printStackTrace();
         }
+        deleteTemporary(tested.temporary);
         System.exit(code);
     }
 
+    /** Deletes the settings and logs of the gateways, once these have ended. */
+    private static void deleteTemporary(Path folder) {
+        Gateway.closeAll();
+        try (Stream<Path> files = Files.list(folder)) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+            Files.delete(folder);
+        } catch (IOException | NullPointerException e) {
+            System.err.println("temporary files remain: " + e);
+        }
+    }
+
     /** Returns whether the rule was broken. */
     abstract boolean run() throws Exception;
 
--- a/review/standins/Gateway.java
+++ b/review/standins/Gateway.java
@@ -16,7 +16,7 @@
     private static final List<Gateway> ALL = new ArrayList<>();
 
     static {
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> ALL.forEach(gateway -> gateway.process.destroyForcibly())));
+        Runtime.getRuntime().addShutdownHook(new Thread(Gateway::closeAll));
     }
 
     final String name;
@@ -91,6 +91,20 @@
         throw new IOException(name + " is not ready");
     }
 
+    /** Ends the gateways that were started, and waits until they have ended. */
+    static void closeAll() {
+        synchronized (ALL) {
+            for (Gateway gateway : ALL) {
+                gateway.process.destroyForcibly();
+                try {
+                    gateway.process.waitFor();
+                } catch (InterruptedException e) {
+                    return;
+                }
+            }
+        }
+    }
+
     @Override
     public void close() {
         process.destroyForcibly();
