--- a/review/5/Case5.java
+++ b/review/5/Case5.java
@@ -125,16 +125,16 @@
         @Override
         boolean answer(Message request, Socket socket) throws IOException, InterruptedException {
             String attempt = request.header("X-Masticfold-Attempt-Id");
-            boolean crashes = request.header("X-Masticfold-Prompt-Prefix").contains(CRASHING_PART);
-            if (crashes) {
+            boolean crashing = request.header("X-Masticfold-Prompt-Prefix").contains(CRASHING_PART);
+            if (crashing) {
                 arrivals.add(record.seconds());
                 record.line("%s gets %s, with the part", id, attempt);
             }
             Thread.sleep(60);
             String head = "HTTP/1.1 200 OK\r\nX-Masticfold-Attempt-Id: " + attempt + "\r\n";
-            if (crashes) {
+            if (crashing) {
                 write(socket, head);
-                end(socket);
+                endForAWhile();
                 return false;
             }
             write(
@@ -150,10 +150,10 @@
             return true;
         }
 
-        private void end(Socket socket) throws IOException {
+        private void endForAWhile() throws IOException {
             end();
-            Case5.this.crashes.add(record.seconds());
-            record.line("%s crashes as it begins to write the answer: crash %d", id, Case5.this.crashes.size());
+            crashes.add(record.seconds());
+            record.line("%s crashes as it begins to write the answer: crash %d", id, crashes.size());
             daemon(() -> {
                 try {
                     Thread.sleep(2000);
