--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -18,8 +18,7 @@
     static void main(Case tested, String[] arguments) {
         int code = 2;
         try {
-            Path folder = Path.of(arguments[0]);
-            tested.record = new Record(folder);
+            tested.record = new Record(Path.of(arguments[0]));
             tested.trouble = !"0".equals(System.getenv("TROUBLE"));
             tested.temporary = Files.createTempDirectory("review");
             tested.record.result("disruption: %s", tested.trouble ? "on" : "off");
--- a/review/standins/Record.java
+++ b/review/standins/Record.java
@@ -12,8 +12,8 @@
     private final PrintStream file;
     private final long startNanos = System.nanoTime();
 
-    Record(Path folder) throws IOException {
-        file = new PrintStream(Files.newOutputStream(folder.resolve("record.txt")), true);
+    Record(Path path) throws IOException {
+        file = new PrintStream(Files.newOutputStream(path), true);
     }
 
     double seconds() {
