--- a/masticfold-core/src/main/java/io/masticfold/core/forward/ForwardConfig.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/forward/ForwardConfig.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /** One version of the configuration for request forwarding. Immutable. */
 public final class ForwardConfig {
@@ -83,6 +85,14 @@
         return Optional.empty();
     }
 
+    /** Returns the names of all routes. */
+    public Set<String> routeNames() {
+        return routesByHost.values().stream()
+                .flatMap(List::stream)
+                .map(ForwardRoute::name)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     /** Returns the longest timeout of the routes whose streams can be taken up; zero if there are none. */
     public Duration longestResumableTimeout() {
         return routesByHost.values().stream()
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -3,6 +3,7 @@
 import io.masticfold.core.forward.RequestLimits;
 import io.masticfold.core.retry.RetryBudget;
 import io.masticfold.core.retry.SlidingWindowRetryBudget;
+import io.masticfold.core.shutdown.GracefulShutdown;
 import io.masticfold.core.time.PauseGuard;
 import io.masticfold.core.time.Scheduler;
 import io.masticfold.core.time.TimeSource;
@@ -45,18 +46,6 @@
 /** Runs one gateway. Connections to callers, targets, peers and the store share one event loop. */
 public final class GatewayDaemon {
 
-    /** Time after the stop request during which callers that have not noticed it may still open connections. */
-    private static final Duration STOP_ACCEPTING_AFTER = Duration.ofMillis(3200);
-
-    /** Time before the kill at which requests that have not been sent to a target are refused. */
-    private static final Duration REFUSE_UNSENT_BEFORE_KILL = Duration.ofMillis(2000);
-
-    /** Time before the kill at which the process exits, even with open requests. */
-    private static final Duration EXIT_BEFORE_KILL = Duration.ofMillis(250);
-
-    /** Interval at which a stopping gateway checks whether all requests are complete. */
-    private static final Duration STOP_CHECK_INTERVAL = Duration.ofMillis(50);
-
     /** Interval at which expired idle connections are closed. */
     private static final Duration IDLE_CHECK_INTERVAL = Duration.ofMillis(500);
 
@@ -78,6 +67,7 @@
     private final StageDispatcher stageDispatcher;
     private final StageAdmissionQueue admissionQueue;
     private final ForwardHandler forwardHandler;
+    private final StopSequence stopSequence;
     private final PeerLinks peers;
     private final HttpServer front;
     private final HttpServer readiness;
@@ -125,6 +115,7 @@
                 view::gateways,
                 settings.seeds(),
                 new PeerDispatcher(stageDispatcher, peerStateExchange, platformWatcher, quarantine, versions, limits));
+        GracefulShutdown shutdown = new GracefulShutdown(scheduler);
         this.forwardHandler = new ForwardHandler(
                 context,
                 stageDispatcher,
@@ -132,13 +123,25 @@
                 new TargetPools(context, limits, _name -> retryBudget()),
                 quarantine,
                 versions,
-                limits);
+                limits,
+                shutdown);
         this.front = new HttpServer(group, time, view::requestLimits, forwardHandler, reason -> {
             telemetry.count("bad_request_" + reason.code());
             log.important(GatewayEvent.BAD_REQUEST)
                     .addKeyValue("reason", reason.code())
                     .log();
         });
+        this.stopSequence = new StopSequence(
+                scheduler,
+                shutdown,
+                front,
+                forwardHandler,
+                () -> {
+                    admissionQueue.refuseAll();
+                    stageDispatcher.drain();
+                },
+                stopped::countDown,
+                log);
         this.readiness = new HttpServer(
                 group,
                 time,
@@ -242,37 +245,10 @@
         stopping = true;
         group.next().execute(() -> {
             registration.stop();
-            log.important(GatewayEvent.STOPPING)
-                    .addKeyValue("connections", front.connections())
-                    .log();
-            front.drain();
-            admissionQueue.refuseAll();
-            stageDispatcher.drain();
-            scheduler.schedule(STOP_ACCEPTING_AFTER, () -> {
-                front.stopAccepting();
-                awaitIdle();
-            });
-            scheduler.schedule(settings.get().grace().minus(REFUSE_UNSENT_BEFORE_KILL), forwardHandler::refuseUnsent);
-            scheduler.schedule(settings.get().grace().minus(EXIT_BEFORE_KILL), this::finishStop);
+            stopSequence.begin(settings.get().grace());
         });
     }
 
-    private void awaitIdle() {
-        if (front.idle()) {
-            finishStop();
-        } else {
-            scheduler.schedule(STOP_CHECK_INTERVAL, this::awaitIdle);
-        }
-    }
-
-    private void finishStop() {
-        log.important(GatewayEvent.STOPPED)
-                .addKeyValue("connections", front.connections())
-                .addKeyValue("idle", front.idle())
-                .log();
-        scheduler.schedule(STOP_CHECK_INTERVAL, stopped::countDown);
-    }
-
     /**
      * Waits until every request has been answered after {@link #stop}.
      *
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/CallerConnection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/CallerConnection.java
@@ -24,6 +24,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.Future;
@@ -49,6 +50,7 @@
     private @Nullable CallerResponseWriter current;
     private @Nullable Future<?> timer;
     private long headNanos;
+    private long idleSinceNanos;
     private boolean closing;
     private boolean lastRequestRead;
 
@@ -60,6 +62,7 @@
     @Override
     public void channelActive(ChannelHandlerContext active) {
         context = active;
+        idleSinceNanos = time.nanoTime();
         server.opened(this);
         armIdleTimer();
     }
@@ -83,10 +86,10 @@
         return current == null && head == null && waiting.isEmpty();
     }
 
-    /** Closes the connection if it is idle. */
-    void closeIfIdle() {
+    /** Closes the connection if it has been idle for the given time. */
+    void closeIfIdleFor(Duration duration) {
         ChannelHandlerContext channelContext = context;
-        if (idle() && channelContext != null) {
+        if (idle() && time.nanoTime() - idleSinceNanos >= duration.toNanos() && channelContext != null) {
             channelContext.close();
         }
     }
@@ -313,6 +316,7 @@
     /** Starts the next request, or closes the connection after the last response. */
     void responseCompleted(ChannelHandlerContext channelContext) {
         current = null;
+        idleSinceNanos = time.nanoTime();
         if (lastResponse()) {
             closing = true;
             channelContext.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpServer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpServer.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -110,13 +111,21 @@
         draining = true;
     }
 
-    /** Closes the listening socket and the idle connections. */
+    /** Closes the listening socket. */
     public void stopAccepting() {
         Channel listening = channel;
         if (listening != null) {
             listening.close();
         }
-        new ArrayList<>(connections).forEach(CallerConnection::closeIfIdle);
+    }
+
+    /**
+     * Closes the connections that are idle.
+     *
+     * @param duration time for which no request was read or served; on other connections one may be on its way
+     */
+    public void closeIdleFor(Duration duration) {
+        new ArrayList<>(connections).forEach(connection -> connection.closeIfIdleFor(duration));
     }
 
     /** Returns the number of open connections. */
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
@@ -8,6 +8,7 @@
 import io.masticfold.core.placement.PromptPrefix;
 import io.masticfold.core.quarantine.RequestFingerprint;
 import io.masticfold.core.routing.RendezvousHashing;
+import io.masticfold.core.shutdown.GracefulShutdown;
 import io.masticfold.core.time.Deadline;
 import io.masticfold.gateway.context.GatewayContext;
 import io.masticfold.gateway.http.CallerListener;
@@ -40,6 +41,7 @@
     private final GatewayContext context;
     private final RequestServices services;
     private final Set<RequestRun> active = new LinkedHashSet<>();
+    private long knownConfigVersion;
 
     /** Creates the handler. */
     public ForwardHandler(
@@ -49,7 +51,8 @@
             TargetPools targets,
             PoisonQuarantine quarantine,
             StreamVersionRegistry versions,
-            TargetRateLimits limits) {
+            TargetRateLimits limits,
+            GracefulShutdown shutdown) {
         this.context = context;
         this.services = new RequestServices(
                 stages,
@@ -58,7 +61,8 @@
                 new TargetRequestBuilder(context.protocol().headers()),
                 quarantine,
                 versions,
-                limits);
+                limits,
+                shutdown);
         quarantine.addListener(suspect -> List.copyOf(active).forEach(run -> run.suspectQuarantined(suspect)));
     }
 
@@ -117,6 +121,10 @@
         if (metadata.deadlineMillis() == 0) {
             return refuse(request, metadata, response, ErrorKind.DEADLINE_EXPIRED, "deadline has passed");
         }
+        forgetRemovedRoutes(config);
+        if (!services.shutdown().accepts(route.get().name(), window(metadata, route.get()))) {
+            return refuse(request, metadata, response, ErrorKind.SHUTTING_DOWN, "gateway stops before it could answer");
+        }
         RoutedRequest routed = routedRequest(request, metadata, config, route.get(), workspace);
         Optional<String> quarantined = services.quarantine().find(routed.suspects());
         if (quarantined.isPresent()) {
@@ -133,6 +141,18 @@
         return run;
     }
 
+    private void forgetRemovedRoutes(ForwardConfig config) {
+        if (config.version() != knownConfigVersion) {
+            knownConfigVersion = config.version();
+            services.shutdown().retainRoutes(config.routeNames());
+        }
+    }
+
+    private static Duration window(CallerMetadata metadata, ForwardRoute route) {
+        return Duration.ofMillis(
+                Math.min(metadata.deadlineMillis(), route.timeout().toMillis()));
+    }
+
     /** Returns the kind, or {@link ErrorKind#NO_CONFIGURATION} if a newer configuration may hold the route or key. */
     private ErrorKind unlessConfigStale(ErrorKind kind) {
         return context.view().stale(context.scheduler().nanoTime()) ? ErrorKind.NO_CONFIGURATION : kind;
@@ -143,13 +163,18 @@
         List.copyOf(active).forEach(RequestRun::refuseUnsent);
     }
 
+    /** Ends every request, since the process exits. Callers without an answer get one; streams are broken off. */
+    public void endAll() {
+        List.copyOf(active).forEach(RequestRun::endBeforeExit);
+    }
+
     private RoutedRequest routedRequest(
             CallerRequest request,
             CallerMetadata metadata,
             ForwardConfig config,
             ForwardRoute route,
             Optional<WorkspaceSpec> workspace) {
-        long windowMillis = Math.min(metadata.deadlineMillis(), route.timeout().toMillis());
+        Duration window = window(metadata, route);
         String workspaceName =
                 route.publicAccess() ? "" : workspace.map(WorkspaceSpec::name).orElse("");
         return new RoutedRequest(
@@ -162,11 +187,9 @@
                         request.method().name(), host(request), request.uri(), workspaceName, request.body()),
                 priority(route, workspace),
                 route.cacheAffinity() ? promptKey(metadata) : PromptPrefix.UNKNOWN,
+                new Deadline(request.receivedNanos() + window.toNanos()),
                 new Deadline(request.receivedNanos()
-                        + Duration.ofMillis(windowMillis).toNanos()),
-                new Deadline(request.receivedNanos()
-                        + route.firstAnswerWindow(Duration.ofMillis(windowMillis))
-                                .toNanos()),
+                        + route.firstAnswerWindow(window).toNanos()),
                 config.version());
     }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -317,6 +317,11 @@
 
     private void succeed(SendResult result) {
         end();
+        services.shutdown()
+                .recordCompleted(
+                        routed.route().name(),
+                        Duration.ofNanos(context.scheduler().nanoTime()
+                                - routed.request().receivedNanos()));
         TargetResponse targetResponse = result.response();
         if (targetResponse != null) {
             response.forward(targetResponse);
@@ -396,6 +401,14 @@
         }
     }
 
+    /** Answers the request with an error, or breaks its stream off, since the process exits. */
+    void endBeforeExit() {
+        if (!ended) {
+            cancelSend();
+            fail(ErrorKind.SHUTTING_DOWN, "gateway exits");
+        }
+    }
+
     private void recordEnd(GatewayEvent event, String outcome, String detail) {
         stages.recordTo(recorder);
         recorder.recordEnd(
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestServices.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestServices.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway.request;
 
+import io.masticfold.core.shutdown.GracefulShutdown;
 import io.masticfold.gateway.limit.TargetRateLimits;
 import io.masticfold.gateway.quarantine.PoisonQuarantine;
 import io.masticfold.gateway.resume.StreamVersionRegistry;
@@ -16,6 +17,7 @@
  * @param quarantine knows the requests and prompt parts that crash targets
  * @param versions knows the software versions that began streams
  * @param limits knows the rate limits that targets name
+ * @param shutdown decides what is accepted while the process stops
  */
 record RequestServices(
         StageDispatcher stages,
@@ -24,4 +26,5 @@
         TargetRequestBuilder requestBuilder,
         PoisonQuarantine quarantine,
         StreamVersionRegistry versions,
-        TargetRateLimits limits) {}
+        TargetRateLimits limits,
+        GracefulShutdown shutdown) {}
