--- a/masticfold-core/src/main/java/io/masticfold/core/forward/ForwardConfig.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/forward/ForwardConfig.java
@@ -16,6 +16,7 @@
 
     private final long version;
     private final RequestLimits limits;
+    private final CallerAuthentication authentication;
     private final Map<String, PoolSpec> pools;
     private final Map<String, List<ForwardRoute>> routesByHost;
     private final Map<String, WorkspaceSpec> workspacesByKey;
@@ -27,15 +28,18 @@
      * @param limits limits on requests
      * @param routes all routes
      * @param pools all pools
-     * @param workspaces all workspaces; if empty, requests need no API key
+     * @param authentication whether requests need an API key
+     * @param workspaces all workspaces
      */
     public ForwardConfig(
             long version,
             RequestLimits limits,
             Collection<ForwardRoute> routes,
             Collection<PoolSpec> pools,
+            CallerAuthentication authentication,
             Collection<WorkspaceSpec> workspaces) {
         this.version = version;
+        this.authentication = authentication;
         this.limits = limits;
         this.pools = new HashMap<>();
         pools.forEach(pool -> this.pools.put(pool.name(), pool));
@@ -103,9 +107,13 @@
                 .orElse(Duration.ZERO);
     }
 
-    /** Returns whether requests need an API key, except on routes that are open to all. */
-    public boolean requiresKey() {
-        return !workspacesByKey.isEmpty();
+    /**
+     * Returns whether a request may be served.
+     *
+     * @param workspace workspace of the caller's API key; empty if the key is unknown or missing
+     */
+    public boolean admits(ForwardRoute route, Optional<WorkspaceSpec> workspace) {
+        return authentication.admits(route, workspace);
     }
 
     /** Returns the workspace of an API key. */
--- a/masticfold-core/src/test/java/io/masticfold/core/forward/ForwardConfigTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/forward/ForwardConfigTests.java
@@ -21,6 +21,7 @@
                     route("long", "a.example", "/p/q/", List.of(new PoolShare("two", 1))),
                     route("other", "b.example", "/", List.of(new PoolShare("one", 90), new PoolShare("two", 10)))),
             List.of(),
+            CallerAuthentication.API_KEY,
             List.of(
                     new WorkspaceSpec("w1", Set.of("k1", "k2"), 0),
                     new WorkspaceSpec("w2", Set.of("k3"), WorkspaceSpec.NO_PRIORITY)));
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
@@ -107,7 +107,7 @@
                     "no route matches " + request.uri());
         }
         Optional<WorkspaceSpec> workspace = config.workspace(metadata.apiKey());
-        if (config.requiresKey() && !route.get().publicAccess() && workspace.isEmpty()) {
+        if (!config.admits(route.get(), workspace)) {
             return refuse(request, metadata, response, unlessConfigStale(ErrorKind.UNAUTHENTICATED), "unknown API key");
         }
         if (metadata.attemptId().isEmpty() || metadata.deadlineMillis() < 0) {
