--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpClient.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpClient.java
@@ -5,6 +5,8 @@
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -125,6 +127,13 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
+                                .addLast(new ChannelInboundHandlerAdapter() {
+                                    @Override
+                                    public void channelRead(ChannelHandlerContext context, Object bytes) {
+                                        connection.bytesReceived();
+                                        context.fireChannelRead(bytes);
+                                    }
+                                })
                                 .addLast(new HttpClientCodec(
                                         new HttpDecoderConfig()
                                                 .setMaxHeaderSize(MAX_HEADER_BYTES)
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -37,6 +38,7 @@
     private @Nullable FullHttpRequest unsent;
     private int exchanges;
     private int interimResponses;
+    private boolean responseBegun;
     private boolean headSeen;
     private boolean closeAfterResponse;
     private boolean sent;
@@ -62,6 +64,7 @@
     /** Starts an exchange on the open connection. */
     void exchange(FullHttpRequest request, ExchangeListener nextListener) {
         listener = nextListener;
+        responseBegun = false;
         headSeen = false;
         interimResponses = 0;
         closeAfterResponse = false;
@@ -111,6 +114,11 @@
         }
     }
 
+    /** Called for all bytes that the server has sent, before they are decoded. */
+    void bytesReceived() {
+        responseBegun = true;
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
@@ -136,9 +144,7 @@
                 return;
             }
             if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
-                fail(
-                        ExchangeFailure.BROKEN,
-                        "malformed response: " + object.decoderResult().cause());
+                decodingFailed(object.decoderResult().cause());
                 context.close();
                 return;
             }
@@ -148,6 +154,14 @@
         }
     }
 
+    private void decodingFailed(Throwable cause) {
+        if (cause instanceof PrematureChannelClosureException) {
+            fail(closedByServer(), "connection closed by the server within the head of the response");
+        } else {
+            fail(ExchangeFailure.BROKEN, "malformed response: " + cause);
+        }
+    }
+
     private void read(ChannelHandlerContext context, Object message) {
         if (message instanceof HttpResponse response) {
             head(response);
@@ -221,7 +235,7 @@
         }
         boolean possiblyIdle =
                 exchanges > 1 && time.nanoTime() - sentNanos <= ROUND_TRIPS_UNTIL_STALE_CLOSE * roundTripNanos;
-        return headSeen || !possiblyIdle ? ExchangeFailure.CLOSED : ExchangeFailure.STALE;
+        return responseBegun || !possiblyIdle ? ExchangeFailure.CLOSED : ExchangeFailure.STALE;
     }
 
     private void fail(ExchangeFailure failure, String detail) {
