Do not decode a cut second copy and the next answer as one head

Callers got a success where the target had answered 504, and "not run" where it had run (MIXED, REFUSED), when a target wrote the first part of an earlier answer once more on a kept connection.

Cause: an incomplete line stays in the decoder across exchanges. A copy that ends in the reason phrase or in the value of a field leaves its status in front of the fields of the next answer, whose seal and attempt id are right.

Change: bytes between two exchanges close the connection; a head with a second status line is malformed; seal and attempt id must stand there exactly once.

Ruled out: whole copies (told apart by the attempt id), a resend to the same target (excluded by SendHistory).

That the users' cases are this fault is suspected: their record does not have the bytes.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
@@ -116,6 +116,10 @@
 
     /** Called for all bytes that the server has sent, before they are decoded. */
     void bytesReceived() {
+        if (listener == null) {
+            // Bytes between two responses may be the first ones of a response that the decoder cannot report yet.
+            close();
+        }
         responseBegun = true;
     }
 
@@ -186,6 +190,11 @@
             }
             return;
         }
+        if (MergedHeads.detectedIn(response)) {
+            fail(ExchangeFailure.BROKEN, "the head of the response contains a second status line");
+            close();
+            return;
+        }
         headSeen = true;
         boolean framed = response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
                 || HttpUtil.isTransferEncodingChunked(response);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
@@ -243,11 +243,11 @@
     }
 
     private boolean authentic(HttpHeaders headers) {
-        return headers.contains(context.protocol().headers().seal()) && echoesAttemptId(headers);
+        return headers.getAll(context.protocol().headers().seal()).size() == 1 && echoesAttemptId(headers);
     }
 
     private boolean echoesAttemptId(HttpHeaders headers) {
-        return attemptId.equals(headers.get(context.protocol().headers().attemptId()));
+        return headers.getAll(context.protocol().headers().attemptId()).equals(List.of(attemptId));
     }
 
     @Override
