Close the connection of an answer that was not taken

After a second copy arrived in place of an answer, the next request on that connection got 502 although its target had answered it with 200, and so did the ones after it.

Cause: an answer without the seal or attempt id of the send counted as a complete exchange, and its connection went back to the idle ones while the real answer was still on its way.

Change: the exchange is cancelled, which closes the connection.

Test: StutteringTargetTests, connectionThatBroughtASecondCopy...: failed before with 502 for the next request, passes now.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
@@ -229,6 +229,8 @@
             return SendResult.of(outcome, "status " + status);
         }
         if (!authentic(headers)) {
+            // The response to this send may still be on its way; the next send on this connection must not get it.
+            exchange.cancel();
             return SendResult.of(
                     SendOutcome.UNKNOWN, "status " + status + " without a valid seal or for another request");
         }
