Confirm the software versions before inferring where a stream began

Cause: the gateway took the only version it knew for the only one while its configuration was confirmed within 4 s, or one peer was connected.

Ruled out: origins that arrive late (refused while versions are mixed).

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -79,6 +79,13 @@
 
     void start() {
         timer = context.scheduler().schedule(deadline.remaining(context.scheduler()), this::expire);
+        binding.whenOriginKnown(this::begin);
+    }
+
+    private void begin() {
+        if (ended) {
+            return;
+        }
         Optional<TargetChoice> notResumable = selection.notResumable(routed, binding.requirement());
         if (notResumable.isPresent()) {
             refuse(notResumable.get());
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/StreamVersionBinding.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/StreamVersionBinding.java
@@ -14,17 +14,31 @@
     private final RoutedRequest routed;
     private final StreamVersionRegistry versions;
     private VersionRequirement bound = VersionRequirement.NONE;
+    private boolean confirmed;
 
     StreamVersionBinding(RoutedRequest routed, StreamVersionRegistry versions) {
         this.routed = routed;
         this.versions = versions;
     }
 
+    /** Calls the action once it is known where the stream began, as far as it can be known; mostly at once. */
+    void whenOriginKnown(Runnable action) {
+        if (routed.takesUpStream()
+                && versions.mustConfirm(routed.pool(), routed.metadata().resumedAttempt())) {
+            versions.confirm(answered -> {
+                confirmed = answered;
+                action.run();
+            });
+        } else {
+            action.run();
+        }
+    }
+
     /** Returns the version that the next target must have. */
     VersionRequirement requirement() {
         boolean undecided = bound.kind() == VersionRequirement.Kind.NONE;
         return undecided && routed.takesUpStream()
-                ? versions.requirement(routed.pool(), routed.metadata().resumedAttempt())
+                ? versions.requirement(routed.pool(), routed.metadata().resumedAttempt(), confirmed)
                 : bound;
     }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/resume/StreamRecordStore.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/resume/StreamRecordStore.java
@@ -48,6 +48,11 @@
         this.node = node;
     }
 
+    /** Returns the name of this gateway. */
+    String node() {
+        return node;
+    }
+
     /**
      * Reads the records of all gateways, until the store has answered.
      *
@@ -55,20 +60,32 @@
      * @param onComplete called after the last one
      */
     void read(Consumer<StreamRecord> receiver, Runnable onComplete) {
-        readPage(null, receiver, onComplete);
+        readOnce(receiver, onComplete, () -> scheduler.schedule(RETRY_DELAY, () -> read(receiver, onComplete)));
+    }
+
+    /**
+     * Reads the records of all gateways once.
+     *
+     * @param receiver receives each record
+     * @param onComplete called after the last one
+     * @param onFailure called instead if the store has not answered
+     */
+    void readOnce(Consumer<StreamRecord> receiver, Runnable onComplete, Runnable onFailure) {
+        readPage(null, receiver, onComplete, onFailure);
     }
 
-    private void readPage(@Nullable String after, Consumer<StreamRecord> receiver, Runnable onComplete) {
+    private void readPage(
+            @Nullable String after, Consumer<StreamRecord> receiver, Runnable onComplete, Runnable onFailure) {
         store.read(dialect.listUri(StoreKind.STREAM_RECORDS, after), TIMEOUT, result -> {
             Optional<StorePage> page = decode(result);
             if (page.isEmpty()) {
-                scheduler.schedule(RETRY_DELAY, () -> readPage(after, receiver, onComplete));
+                onFailure.run();
                 return;
             }
             List<StoreObject> objects = page.get().objects();
             objects.stream().map(this::decodeRecord).flatMap(Optional::stream).forEach(receiver);
             if (page.get().more() && !objects.isEmpty()) {
-                readPage(objects.get(objects.size() - 1).name(), receiver, onComplete);
+                readPage(objects.get(objects.size() - 1).name(), receiver, onComplete, onFailure);
             } else {
                 onComplete.run();
             }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/resume/StreamVersionRegistry.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/resume/StreamVersionRegistry.java
@@ -16,6 +16,7 @@
 import io.masticfold.gateway.peer.PeerLinks;
 import io.masticfold.gateway.peer.proto.PeerFrame;
 import io.masticfold.gateway.peer.proto.StreamVersions;
+import io.masticfold.gateway.protocol.GatewayAddress;
 import io.masticfold.gateway.protocol.StreamRecord;
 import io.masticfold.gateway.store.PlatformView;
 import java.time.Duration;
@@ -26,6 +27,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -66,6 +68,7 @@
     private final StreamRecordStore store;
     private final VersionHistory history;
     private final StreamOriginTable origins;
+    private final RecordConfirmation confirmation;
     private final List<StreamOrigin> unsent = new ArrayList<>();
     private final Map<String, Set<String>> recorded = new HashMap<>();
     private final Map<String, Long> firstSeenNanos = new HashMap<>();
@@ -89,6 +92,8 @@
         this.store = store;
         this.history = new VersionHistory(scheduler);
         this.origins = new StreamOriginTable(scheduler);
+        this.confirmation = new RecordConfirmation(
+                scheduler, (onComplete, onFailure) -> store.readOnce(this::merge, onComplete, onFailure));
     }
 
     /** Reads the records of all gateways and starts to share what is known. */
@@ -111,10 +116,39 @@
      * Returns the version at which a stream must go on that its caller takes up.
      *
      * @param attempt id of the attempt that brought its first event; empty if the caller names none
+     * @param confirmed whether the records were read again after the caller asked
      */
-    public VersionRequirement requirement(String pool, String attempt) {
+    public VersionRequirement requirement(String pool, String attempt, boolean confirmed) {
         observe();
-        return ResumptionPolicy.require(origins.find(attempt), pool, history, knowsAllVersions());
+        return ResumptionPolicy.require(origins.find(attempt), pool, history, knowsAllVersions(confirmed));
+    }
+
+    /**
+     * Returns whether the records must be read again before it can be said where a stream began: a gateway that is not
+     * connected to this one may have begun it at a version that is not known here.
+     *
+     * @param attempt id of the attempt that brought its first event
+     */
+    public boolean mustConfirm(String pool, String attempt) {
+        observe();
+        return origins.find(attempt).isEmpty() && !history.mixed(pool) && !hearsAllGateways();
+    }
+
+    /**
+     * Reads the records of all gateways again.
+     *
+     * @param receiver receives once whether the store has answered in time
+     */
+    public void confirm(Consumer<Boolean> receiver) {
+        confirmation.request(receiver);
+    }
+
+    private boolean hearsAllGateways() {
+        PeerLinks peers = links;
+        return peers != null
+                && view.gateways().stream()
+                        .map(GatewayAddress::name)
+                        .allMatch(name -> name.equals(store.node()) || peers.reachable(name));
     }
 
     /** Returns the pool in which a stream began; empty if it is not known. */
@@ -134,13 +168,9 @@
         return pool + '/' + version;
     }
 
-    private boolean knowsAllVersions() {
-        long now = scheduler.nanoTime();
-        boolean served = now - startedNanos > window().toNanos();
-        PeerLinks peers = links;
-        boolean current =
-                !view.stale(now) || (peers != null && !peers.connected().isEmpty());
-        return current && (complete || served);
+    private boolean knowsAllVersions(boolean confirmed) {
+        boolean served = scheduler.nanoTime() - startedNanos > window().toNanos();
+        return confirmed || (hearsAllGateways() && (complete || served));
     }
 
     /** Records that a target has written the first event of a stream. */
