Send nothing to targets that say that they leave or ask for a pause

Change: a leaving target is draining until its next incarnation, whatever its entry says (TargetTable.markLeaving); a pause is asked together with the named limit (TargetPauses in TargetRateLimits.waitTime), for stage servers in StageServerState.

--- a/masticfold-core/src/main/java/io/masticfold/core/directory/TargetTable.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/directory/TargetTable.java
@@ -8,6 +8,7 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Holds the targets registered in the service directory. Registrations expire while the directory is unavailable, since
@@ -31,6 +32,7 @@
     private final Map<String, Removal> removals = new HashMap<>();
     private final Map<String, TargetRecord> targets = new HashMap<>();
     private final Map<String, Long> graceEnds = new HashMap<>();
+    private final Map<String, Long> leavingNanos = new HashMap<>();
     private Set<String> disabledZones = Set.of();
     private boolean unavailable;
     private long outageStartNanos;
@@ -91,12 +93,29 @@
     /** Adds or updates a target. A target that is draining keeps draining: only its next incarnation is usable. */
     public void put(TargetRecord record) {
         TargetRecord known = targets.get(record.id());
-        boolean draining = known != null && known.draining() && known.sameIncarnation(record);
+        boolean draining = (known != null && known.draining() && known.sameIncarnation(record))
+                || leavingNanos.containsKey(record.incarnation());
         targets.put(record.id(), draining ? record.asDraining() : record);
         graceEnds.remove(record.id());
         removals.remove(record.id());
     }
 
+    /**
+     * Records that a target itself says that it leaves. An entry that says otherwise does not take that back; only the
+     * next incarnation is usable.
+     *
+     * @return whether this was not known, from the target or the directory
+     */
+    public boolean markLeaving(TargetRecord target) {
+        leavingNanos.put(target.incarnation(), time.nanoTime());
+        TargetRecord known = targets.get(target.id());
+        if (known == null || known.draining() || !known.sameIncarnation(target)) {
+            return false;
+        }
+        targets.put(known.id(), known.asDraining());
+        return true;
+    }
+
     /**
      * Removes a target, or schedules its removal if an outage has just ended. Removals during an outage come from peers
      * that the directory already answers.
@@ -128,6 +147,9 @@
     public boolean expire() {
         long oldest = time.nanoTime() - REMOVAL_MEMORY.toNanos();
         removals.values().removeIf(removal -> removal.nanos() - oldest < 0);
+        Set<String> listed =
+                targets.values().stream().map(TargetRecord::incarnation).collect(Collectors.toSet());
+        leavingNanos.entrySet().removeIf(entry -> !listed.contains(entry.getKey()) && entry.getValue() - oldest < 0);
         boolean removed = false;
         for (Iterator<Map.Entry<String, Long>> entries = graceEnds.entrySet().iterator(); entries.hasNext(); ) {
             Map.Entry<String, Long> entry = entries.next();
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -94,8 +94,16 @@
                 store, protocol.store(), scheduler, view, log, settings.node(), registration::register);
         PauseGuard pauseGuard = new PauseGuard(scheduler, PauseRecovery.MAX_DELAY);
         this.pauseRecovery = new PauseRecovery(pauseGuard, platformWatcher, scheduler, log);
-        GatewayContext context =
-                new GatewayContext(this.settings, protocol, client, scheduler, pauseGuard, view, log, telemetry);
+        GatewayContext context = new GatewayContext(
+                this.settings,
+                protocol,
+                client,
+                scheduler,
+                pauseGuard,
+                view,
+                log,
+                telemetry,
+                platformWatcher::targetLeaving);
         this.peerStateExchange = new PeerStateExchange(platformWatcher, scheduler, log);
         this.quarantine = new PoisonQuarantine(scheduler, log, telemetry);
         this.versions = new StreamVersionRegistry(
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/context/GatewayContext.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/context/GatewayContext.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway.context;
 
+import io.masticfold.core.directory.TargetRecord;
 import io.masticfold.core.telemetry.Telemetry;
 import io.masticfold.core.time.PauseGuard;
 import io.masticfold.core.time.Scheduler;
@@ -9,6 +10,7 @@
 import io.masticfold.gateway.settings.GatewaySettings;
 import io.masticfold.gateway.store.PlatformView;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 
 /**
  * Holds the services and state shared by all parts of the request path.
@@ -21,6 +23,7 @@
  * @param view local view of the platform: configuration, targets and peers
  * @param log rate-limited structured log
  * @param telemetry metrics
+ * @param leavingTargets told each target that says in an answer that it leaves
  */
 public record GatewayContext(
         AtomicReference<GatewaySettings> settingsReference,
@@ -30,7 +33,8 @@
         PauseGuard pauseGuard,
         PlatformView view,
         RateLimitedLog log,
-        Telemetry telemetry) {
+        Telemetry telemetry,
+        Consumer<TargetRecord> leavingTargets) {
 
     /** Returns the current settings. */
     public GatewaySettings settings() {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/limit/TargetRateLimits.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/limit/TargetRateLimits.java
@@ -1,6 +1,7 @@
 package io.masticfold.gateway.limit;
 
 import io.masticfold.core.directory.TargetRecord;
+import io.masticfold.core.limit.TargetPauses;
 import io.masticfold.core.limit.TargetRateLimit;
 import io.masticfold.core.limit.TargetRateShare;
 import io.masticfold.core.telemetry.Telemetry;
@@ -12,6 +13,7 @@
 import io.masticfold.gateway.peer.proto.NamedLimit;
 import io.masticfold.gateway.peer.proto.NamedLimits;
 import io.masticfold.gateway.peer.proto.PeerFrame;
+import io.masticfold.gateway.protocol.TargetSignals;
 import io.masticfold.gateway.store.PlatformView;
 import java.time.Duration;
 import java.util.HashMap;
@@ -22,7 +24,7 @@
 
 /**
  * Knows the rate limits that targets name, from the answers that this gateway and its peers get, and keeps this
- * gateway's share of each. Not thread-safe.
+ * gateway's share of each, and the pauses that targets have asked this gateway for. Not thread-safe.
  */
 public final class TargetRateLimits {
 
@@ -35,6 +37,7 @@
     private final Telemetry telemetry;
     private final String node;
     private final Map<String, TargetRateLimit> limits = new HashMap<>();
+    private final TargetPauses pauses;
     private int cleanupSize = CLEANUP_SIZE;
     private @Nullable PeerLinks links;
 
@@ -46,6 +49,7 @@
     public TargetRateLimits(
             Scheduler scheduler, PlatformView view, RateLimitedLog log, Telemetry telemetry, String node) {
         this.scheduler = scheduler;
+        this.pauses = new TargetPauses(scheduler);
         this.view = view;
         this.log = log;
         this.telemetry = telemetry;
@@ -60,10 +64,21 @@
     /**
      * Records an answer of a target.
      *
-     * @param named limit that it names, in requests per second; empty if it names none
+     * @param signals what the target says of itself in the answer
      */
-    public void recordAnswer(TargetRecord target, OptionalDouble named) {
+    public void recordAnswer(TargetRecord target, TargetSignals signals) {
         String key = target.incarnation();
+        if (!signals.pause().isZero() && pauses.record(key, signals.pause())) {
+            telemetry.count("target_paused");
+            log.important(GatewayEvent.TARGET_PAUSED)
+                    .addKeyValue("target", key)
+                    .addKeyValue("pauseMillis", signals.pause().toMillis())
+                    .log();
+        }
+        recordLimit(key, signals.limit());
+    }
+
+    private void recordLimit(String key, OptionalDouble named) {
         TargetRateLimit known = limits.get(key);
         if (known == null && named.isEmpty()) {
             return;
@@ -81,8 +96,10 @@
     /** Returns the time until this gateway may send a request to the target; zero if it may send one now. */
     public Duration waitTime(TargetRecord target) {
         String key = target.incarnation();
+        Duration pause = pauses.remaining(key);
         TargetRateLimit limit = limits.get(key);
-        return limit == null ? Duration.ZERO : limit.waitTime(share(key, limit));
+        Duration wait = limit == null ? Duration.ZERO : limit.waitTime(share(key, limit));
+        return wait.compareTo(pause) > 0 ? wait : pause;
     }
 
     /** Records that a request is sent to the target. */
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
@@ -52,7 +52,9 @@
     REQUEST_CLEARED(6046, Level.INFO, "a request is no longer suspected or quarantined"),
     SOFTWARE_VERSION_SEEN(6047, Level.INFO, "a software version may have begun the streams of a pool"),
     STREAM_RECORD_UNREADABLE(6048, Level.ERROR, "a record of streams in the object store cannot be decoded"),
-    STREAM_NOT_RESUMED(6049, Level.WARN, "a stream does not go on, since its software version is gone or not known");
+    STREAM_NOT_RESUMED(6049, Level.WARN, "a stream does not go on, since its software version is gone or not known"),
+    TARGET_PAUSED(6050, Level.INFO, "a target wants nothing from this gateway for some time"),
+    TARGET_LEAVING(6051, Level.INFO, "a target says in an answer that it leaves; it is sent nothing more");
 
     private final EventDefinition definition;
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/PlatformProtocol.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/PlatformProtocol.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
-import java.util.OptionalDouble;
 
 /** Supplies the header names, data formats and calls of a platform. Implementations translate; they decide nothing. */
 public interface PlatformProtocol {
@@ -19,8 +18,8 @@
     /** Decodes the load that a target reports in the headers of a response. */
     Optional<TargetLoadReport> decodeLoad(HttpHeaders headers);
 
-    /** Decodes the limit on requests per second, from all gateways together, that a target names in a response. */
-    OptionalDouble decodeLimit(HttpHeaders headers);
+    /** Decodes what a target says of itself in the head of a response; malformed values count as absent. */
+    TargetSignals decodeSignals(int status, HttpHeaders headers);
 
     /** Returns the format of calls to the object store. */
     StoreDialect store();
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -13,9 +13,10 @@
 import io.masticfold.gateway.http.Exchange;
 import io.masticfold.gateway.log.GatewayEvent;
 import io.masticfold.gateway.protocol.PieceOutcome;
+import io.masticfold.gateway.protocol.TargetSignals;
 import io.masticfold.gateway.stage.StageRefusal;
 import io.masticfold.gateway.stage.StageRunListener;
-import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -240,8 +241,12 @@
     }
 
     /** Called when the head of the target's own response has arrived. */
-    void responseBegun(TargetTracker target, HttpHeaders headers) {
-        services.limits().recordAnswer(target.target(), context.protocol().decodeLimit(headers));
+    void responseBegun(TargetTracker target, HttpResponse head) {
+        TargetSignals signals = context.protocol().decodeSignals(head.status().code(), head.headers());
+        services.limits().recordAnswer(target.target(), signals);
+        if (signals.leaving()) {
+            context.leavingTargets().accept(target.target());
+        }
     }
 
     void targetFailed(TargetTracker target, boolean nowSuspect) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetPool.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetPool.java
@@ -77,14 +77,16 @@
     }
 
     /**
-     * Returns the time until a target may be sent a request that only its rate limit keeps from it; empty if there is
-     * none.
+     * Returns the time until a target may be sent a request that only its rate limit or a pause keeps from it; empty if
+     * there is none.
      *
-     * @param excluded ids of targets that must not be used
+     * @param excluded ids of targets that must not be used, unless all are excluded and the caller has to come back
      */
     Optional<Duration> waitForLimit(Set<String> excluded) {
-        return context.view().directory().usable(name).stream()
-                .filter(target -> !excluded.contains(target.id()))
+        List<TargetRecord> usable = context.view().directory().usable(name);
+        boolean othersLeft = usable.stream().anyMatch(target -> !excluded.contains(target.id()));
+        return usable.stream()
+                .filter(target -> !othersLeft || !excluded.contains(target.id()))
                 .map(limits::waitTime)
                 .filter(wait -> !wait.isZero())
                 .min(Comparator.naturalOrder());
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
@@ -108,8 +108,9 @@
         context.protocol()
                 .decodeLoad(head.headers())
                 .ifPresent(load -> target.reported(load, context.scheduler().nanoTime()));
-        if (ownResponse(head.headers())) {
-            run.responseBegun(target, head.headers());
+        // A misdirected request was answered by another target at the same address.
+        if (ownResponse(head.headers()) && head.status().code() != HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
+            run.responseBegun(target, head);
         }
         if (progress != null && head.status().code() == HttpResponseStatus.OK.code()) {
             if (!authentic(head.headers())) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServer.java
@@ -7,6 +7,7 @@
 import io.masticfold.gateway.context.GatewayContext;
 import io.masticfold.gateway.http.CallResult;
 import io.masticfold.gateway.protocol.PieceOutcome;
+import io.masticfold.gateway.protocol.TargetSignals;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -197,7 +198,7 @@
             return failed.detail();
         }
         CallResult.Answered answered = (CallResult.Answered) result;
-        context.protocol().decodeLimit(answered.headers()).ifPresent(serverState::pauseForLimit);
+        recordSignals(context.protocol().decodeSignals(answered.status(), answered.headers()));
         if (answered.status() == HttpResponseStatus.OK.code()) {
             try {
                 List<PieceOutcome> outcomes = context.protocol().stages().decodeRun(answered.body(), batch.size());
@@ -225,6 +226,14 @@
         return "status " + answered.status();
     }
 
+    private void recordSignals(TargetSignals signals) {
+        signals.limit().ifPresent(serverState::pauseForLimit);
+        serverState.pauseAsAsked(signals.pause());
+        if (signals.leaving()) {
+            context.leavingTargets().accept(server);
+        }
+    }
+
     private void giveBack(List<QueuedPiece> batch) {
         batch.forEach(piece -> complete(piece, new PieceOutcome(PieceOutcome.Kind.GIVEN_BACK, "")));
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerState.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerState.java
@@ -85,8 +85,18 @@
      * @param callsPerSecond limit that the server names
      */
     void pauseForLimit(double callsPerSecond) {
-        limitedUntilNanos =
-                callStartedNanos + (long) (NANOS_PER_SECOND / Math.max(MIN_CALLS_PER_SECOND, callsPerSecond));
+        long next = callStartedNanos + (long) (NANOS_PER_SECOND / Math.max(MIN_CALLS_PER_SECOND, callsPerSecond));
+        if (next - limitedUntilNanos > 0) {
+            limitedUntilNanos = next;
+        }
+    }
+
+    /** Delays the next call by a pause that the server has asked for; an earlier, longer one holds. */
+    void pauseAsAsked(Duration length) {
+        long end = time.nanoTime() + length.toNanos();
+        if (end - limitedUntilNanos > 0) {
+            limitedUntilNanos = end;
+        }
     }
 
     /** Records that no call is in progress, so that the next one may start. */
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatcher.java
@@ -1,9 +1,11 @@
 package io.masticfold.gateway.store;
 
 import io.masticfold.core.directory.DisabledZones;
+import io.masticfold.core.directory.TargetRecord;
 import io.masticfold.core.directory.TargetTable;
 import io.masticfold.core.stage.ServerOwnership;
 import io.masticfold.core.time.Scheduler;
+import io.masticfold.gateway.log.GatewayEvent;
 import io.masticfold.gateway.log.RateLimitedLog;
 import io.masticfold.gateway.peer.proto.KindRead;
 import io.masticfold.gateway.peer.proto.PeerStatus;
@@ -43,6 +45,7 @@
     private final KindWatcher configurationWatcher;
     private final List<KindWatcher> watchers;
     private final String node;
+    private final RateLimitedLog log;
     private Supplier<List<String>> reachablePeers = List::of;
 
     /**
@@ -60,6 +63,7 @@
             String node,
             Runnable onUnlisted) {
         this.node = node;
+        this.log = log;
         this.scheduler = scheduler;
         this.view = view;
         this.table = new TargetTable(scheduler);
@@ -123,6 +127,17 @@
                 .equals(node);
     }
 
+    /** Records that a target says in an answer that it leaves. */
+    public void targetLeaving(TargetRecord target) {
+        if (table.markLeaving(target)) {
+            targets.publish();
+            log.important(GatewayEvent.TARGET_LEAVING)
+                    .addKeyValue("target", target.id())
+                    .addKeyValue("pool", target.pool())
+                    .log();
+        }
+    }
+
     /**
      * Sets the peers among which the reads are shared.
      *
