--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/MergedHeads.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/MergedHeads.java
@@ -5,8 +5,8 @@
 import java.util.regex.Pattern;
 
 /**
- * Detects a response head that consists of the first part of one head and the whole of another, as a server leaves it
- * that stops within a second copy of a response. The status is then that of the copy, the fields are those of the other.
+ * Detects a response head that consists of the first part of one head and the whole of another: a server has stopped
+ * within a second copy of a response. The status is then that of the copy, the fields are those of the other.
  */
 final class MergedHeads {
 
