Remember from its removal on that a target said that it leaves

A target whose entry was removed and came back for the same incarnation more than a minute after its answer was sent requests again.

Cause: the memory of the answer counted from the answer, not from the removal of the target.

Change: the removal renews it; the table looks an incarnation up instead of collecting all of them at each expiry.

Test: TargetTableTests, entryTakesBackThatATargetLeaves: 1 of 4 cases failed before, none now.

--- a/masticfold-core/src/main/java/io/masticfold/core/directory/TargetTable.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/directory/TargetTable.java
@@ -8,7 +8,6 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
-import java.util.stream.Collectors;
 
 /**
  * Holds the targets registered in the service directory. Registrations expire while the directory is unavailable, since
@@ -135,6 +134,7 @@
         TargetRecord removed = targets.remove(id);
         if (removed != null) {
             removals.put(id, new Removal(removed, time.nanoTime()));
+            leavingNanos.replace(removed.incarnation(), time.nanoTime());
         }
     }
 
@@ -147,9 +147,7 @@
     public boolean expire() {
         long oldest = time.nanoTime() - REMOVAL_MEMORY.toNanos();
         removals.values().removeIf(removal -> removal.nanos() - oldest < 0);
-        Set<String> listed =
-                targets.values().stream().map(TargetRecord::incarnation).collect(Collectors.toSet());
-        leavingNanos.entrySet().removeIf(entry -> !listed.contains(entry.getKey()) && entry.getValue() - oldest < 0);
+        leavingNanos.entrySet().removeIf(entry -> entry.getValue() - oldest < 0 && !listed(entry.getKey()));
         boolean removed = false;
         for (Iterator<Map.Entry<String, Long>> entries = graceEnds.entrySet().iterator(); entries.hasNext(); ) {
             Map.Entry<String, Long> entry = entries.next();
@@ -162,6 +160,11 @@
         return removed;
     }
 
+    private boolean listed(String incarnation) {
+        TargetRecord target = targets.get(incarnation.substring(0, incarnation.lastIndexOf('@')));
+        return target != null && target.incarnation().equals(incarnation);
+    }
+
     /** Returns an immutable snapshot of the current targets. */
     public TargetDirectory snapshot() {
         return new TargetDirectory(targets.values(), disabledZones);
--- a/masticfold-core/src/test/java/io/masticfold/core/directory/TargetTableTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/directory/TargetTableTests.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Guards against new requests for draining targets, and against a directory outage that empties every pool. */
 final class TargetTableTests {
@@ -35,6 +36,63 @@
         assertThat(table.snapshot().find("b")).isPresent();
     }
 
+    /** Entries that a target that leaves still has, or gets again, after it has said so in an answer. */
+    enum Entry {
+        CHANGED {
+            @Override
+            void apply(TargetTable table, TargetRecord target) {
+                table.put(target);
+            }
+        },
+        LISTED {
+            @Override
+            void apply(TargetTable table, TargetRecord target) {
+                table.replaceAll(List.of(target));
+            }
+        },
+        RESTORED {
+            @Override
+            void apply(TargetTable table, TargetRecord target) {
+                table.replaceAllRestored(List.of(target));
+            }
+        },
+        REMOVED_AND_ADDED_AGAIN {
+            @Override
+            void apply(TargetTable table, TargetRecord target) {
+                table.directoryAnswered();
+                table.remove(target.id());
+                table.expire();
+                table.put(target);
+            }
+        };
+
+        abstract void apply(TargetTable table, TargetRecord target);
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void entryTakesBackThatATargetLeaves(Entry entry) {
+        table.put(target("a", false, 1));
+        assertThat(table.markLeaving(target("a", false, 1))).isTrue();
+        assertThat(table.markLeaving(target("a", false, 1))).isFalse();
+        for (int minute = 0; minute < 5; minute++) {
+            entry.apply(table, target("a", false, 1));
+            assertThat(usable()).isEmpty();
+            time.advance(Duration.ofMinutes(1));
+            table.expire();
+        }
+
+        table.put(target("a", false, 2));
+        assertThat(usable()).containsExactly("a");
+    }
+
+    @Test
+    void lateAnswerOfTheFormerIncarnationMarksTheNext() {
+        table.put(target("a", false, 2));
+        assertThat(table.markLeaving(target("a", false, 1))).isFalse();
+        assertThat(usable()).containsExactly("a");
+    }
+
     @Test
     void aZoneOutOfServiceGetsNoNewRequests() {
         table.put(target("a", false, 1));
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/resume/StreamVersionRegistry.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/resume/StreamVersionRegistry.java
@@ -134,11 +134,7 @@
         return origins.find(attempt).isEmpty() && !history.mixed(pool) && !hearsAllGateways();
     }
 
-    /**
-     * Reads the records of all gateways again.
-     *
-     * @param receiver receives once whether the store has answered in time
-     */
+    /** Reads the records of all gateways again; the receiver is told once whether the store has answered in time. */
     public void confirm(Consumer<Boolean> receiver) {
         confirmation.request(receiver);
     }
