Bound the time that the responses of one server keep the event loop busy

What callers saw: one model server that sent comments without end stopped the whole gateway.

Cause: every comment of three bytes counted as an event, and was parsed, written and flushed by itself. A turn was bounded in bytes (64 KiB), its cost lay in the number of pieces. Evidence: 20 of 51 busy stack samples of the loop in writev.

Change: the splitter works on bytes and joins comments and empty lines; what one read brought leaves as one buffer; only events with an id or data count as events; 64 KiB of filler between two events end the send. LoopShares bounds the time that long turns of servers may take to half of the loop's, by server. The delay of the loop is a histogram, and MF6037 tells a busy loop from a stop.

Ruled out: garbage collection (79 ms in 11 s), a caller without back-pressure.

--- a/masticfold-core/src/test/java/io/masticfold/core/stream/EventSplitterTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/stream/EventSplitterTests.java
@@ -47,6 +47,19 @@
                 .containsOnly(StreamEvent.NO_ID);
     }
 
+    @Test
+    void commentsAndEmptyLinesCountAsManyEvents() {
+        String filler = ":\n\n".repeat(5000) + "\n\r\n".repeat(100);
+
+        List<StreamEvent> events = new EventSplitter().feed(bytes(filler + "id: 1\ndata: a\n\n" + filler + ":"));
+
+        assertThat(events).extracting(StreamEvent::carriesContent).containsExactly(false, true, false);
+        assertThat(events).extracting(StreamEvent::id).containsExactly(StreamEvent.NO_ID, 1L, StreamEvent.NO_ID);
+        assertThat(events)
+                .extracting(event -> new String(event.bytes(), StandardCharsets.UTF_8))
+                .containsExactly(filler, "id: 1\ndata: a\n\n", filler);
+    }
+
     @Property(seed = "5", tries = 200)
     @Tag("property")
     void anySplitOfTheBytesGivesTheSameEvents(@ForAll long seed) {
@@ -54,6 +67,7 @@
         StringBuilder stream = new StringBuilder();
         int count = random.nextInt(20);
         for (int i = 1; i <= count; i++) {
+            stream.append(": ping\n\n".repeat(random.nextInt(3)));
             stream.append("id: ").append(i).append("\ndata: ").append("y".repeat(random.nextInt(900)));
             stream.append("\n\n");
         }
@@ -65,7 +79,9 @@
         while (from < all.length) {
             int to = Math.min(all.length, from + 1 + random.nextInt(700));
             for (StreamEvent event : splitter.feed(Arrays.copyOfRange(all, from, to))) {
-                ids.add(event.id());
+                if (event.carriesContent()) {
+                    ids.add(event.id());
+                }
                 output.append(new String(event.bytes(), StandardCharsets.UTF_8));
             }
             from = to;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -12,6 +12,7 @@
 import io.masticfold.gateway.http.HttpClient;
 import io.masticfold.gateway.http.HttpServer;
 import io.masticfold.gateway.limit.TargetRateLimits;
+import io.masticfold.gateway.log.EventLoopMonitor;
 import io.masticfold.gateway.log.GatewayEvent;
 import io.masticfold.gateway.log.GatewayMetrics;
 import io.masticfold.gateway.log.RateLimitedLog;
@@ -93,7 +94,8 @@
         this.platformWatcher = new PlatformWatcher(
                 store, protocol.store(), scheduler, view, log, settings.node(), registration::register);
         PauseGuard pauseGuard = new PauseGuard(scheduler, PauseRecovery.MAX_DELAY);
-        this.pauseRecovery = new PauseRecovery(pauseGuard, platformWatcher, scheduler, log);
+        this.pauseRecovery = new PauseRecovery(
+                pauseGuard, platformWatcher, scheduler, new EventLoopMonitor(scheduler, telemetry), log);
         GatewayContext context = new GatewayContext(
                 this.settings,
                 protocol,
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayGauges.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayGauges.java
@@ -30,6 +30,7 @@
         meters.gauge("masticfold.requests.waiting", admissionQueue::waiting);
         meters.gauge("masticfold.callers.connections", front::connections);
         meters.gauge("masticfold.connections.opened", client::opened);
+        meters.gauge("masticfold.servers.held.back", client::heldBackServers);
         meters.gauge("masticfold.targets.limited", limits::limitedTargets);
         meters.gauge("masticfold.store.reachable", () -> platformWatcher.storeReachable() ? 1 : 0);
         meters.gauge("masticfold.configuration.version", view::configVersion);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/BufferedCall.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/BufferedCall.java
@@ -122,6 +122,11 @@
         }
     }
 
+    @Override
+    public void readComplete() {
+        // Only the complete response is passed on.
+    }
+
     @Override
     public void end() {
         HttpResponse head = response;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ExchangeListener.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ExchangeListener.java
@@ -21,6 +21,9 @@
      */
     void content(ByteBuf bytes);
 
+    /** Called when everything that one read brought has been passed on, unless the exchange has ended. */
+    void readComplete();
+
     /** Called when the response is complete. */
     void end();
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpClient.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpClient.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway.http;
 
+import io.masticfold.core.time.LoopShares;
 import io.masticfold.core.time.TimeSource;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -22,8 +23,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Set;
 import jdk.net.ExtendedSocketOptions;
 import org.jspecify.annotations.Nullable;
 
@@ -49,7 +52,7 @@
     private static final int KEEP_ALIVE_PROBES = 2;
 
     /** Reads of a connection in one turn of the event loop, and the size of each: no server may hold up the others. */
-    private static final int READS_PER_TURN = 4;
+    private static final int READS_PER_TURN = 1;
 
     private static final int MIN_READ_BYTES = 512;
     private static final int INITIAL_READ_BYTES = 2048;
@@ -64,6 +67,8 @@
     private final EventLoopGroup group;
     private final TimeSource time;
     private final Map<InetSocketAddress, Deque<Idle>> idle = new HashMap<>();
+    private final LoopShares<InetSocketAddress> readShares;
+    private final Set<InetSocketAddress> neverHeldBack = new HashSet<>();
     private long opened;
 
     /**
@@ -75,6 +80,29 @@
     public HttpClient(EventLoopGroup group, TimeSource time) {
         this.group = group;
         this.time = time;
+        this.readShares = new LoopShares<>(time);
+    }
+
+    /**
+     * Excepts a server from the bound on the share of the event loop that responses of one server may take.
+     *
+     * @param address address of a server on which all others depend
+     */
+    public void neverHoldBack(InetSocketAddress address) {
+        neverHeldBack.add(address);
+    }
+
+    /** Returns the number of servers whose responses are read more slowly than they come. */
+    public int heldBackServers() {
+        return readShares.heldBack();
+    }
+
+    LoopShares<InetSocketAddress> readShares() {
+        return readShares;
+    }
+
+    Duration waitBeforeRead(InetSocketAddress address) {
+        return neverHeldBack.contains(address) ? Duration.ZERO : readShares.waitTime(address);
     }
 
     /**
@@ -186,6 +214,7 @@
     public void closeExpired() {
         idle.values().forEach(this::closeExpired);
         idle.values().removeIf(Deque::isEmpty);
+        readShares.forgetIdle();
     }
 
     private void closeExpired(Deque<Idle> connections) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
@@ -30,6 +30,7 @@
     private final HttpClient owner;
     private final InetSocketAddress address;
     private final TimeSource time;
+    private final ReadThrottle throttle;
     private final long connectNanos;
     private long roundTripNanos;
     private long sentNanos;
@@ -48,6 +49,7 @@
         this.owner = owner;
         this.address = address;
         this.time = time;
+        this.throttle = new ReadThrottle(owner, address, time);
         this.connectNanos = time.nanoTime();
     }
 
@@ -97,9 +99,8 @@
 
     @Override
     public void setAutoRead(boolean enabled) {
-        Channel open = channel;
-        if (open != null && listener != null) {
-            open.config().setAutoRead(enabled);
+        if (listener != null) {
+            throttle.setCallerReady(enabled);
         }
     }
 
@@ -116,6 +117,7 @@
 
     /** Called for all bytes that the server has sent, before they are decoded. */
     void bytesReceived() {
+        throttle.bytesReceived();
         if (listener == null) {
             // Bytes between two responses may be the first ones of a response that the decoder cannot report yet.
             close();
@@ -136,6 +138,7 @@
         unsent = null;
         if (first != null && firstListener != null) {
             exchange(first, firstListener);
+            throttle.opened(context.channel());
         }
     }
 
@@ -158,6 +161,15 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext _context) {
+        ExchangeListener receiver = listener;
+        if (receiver != null && headSeen) {
+            receiver.readComplete();
+        }
+        throttle.turnEnded();
+    }
+
     private void decodingFailed(Throwable cause) {
         if (cause instanceof PrematureChannelClosureException) {
             fail(closedByServer(), "connection closed by the server within the head of the response");
@@ -207,7 +219,7 @@
 
     private void end(ChannelHandlerContext context, ExchangeListener receiver) {
         listener = null;
-        context.channel().config().setAutoRead(true);
+        throttle.setCallerReady(true);
         if (closeAfterResponse) {
             context.close();
         } else {
--- /dev/null
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/log/EventLoopMonitor.java
@@ -0,0 +1,68 @@
+package io.masticfold.gateway.log;
+
+import io.masticfold.core.time.Scheduler;
+import java.lang.management.GarbageCollectorMXBean;
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+
+/**
+ * Measures by how much tasks of the event loop are late, and what the process did meanwhile: a loop that was busy used
+ * processor time, a collection of garbage is counted by the JVM, and a process that was stopped has neither. Used on
+ * the event loop only.
+ */
+public final class EventLoopMonitor {
+
+    /** Interval of the measurements; a delay that is shorter may be missed. */
+    private static final Duration INTERVAL = Duration.ofMillis(100);
+
+    private final Scheduler scheduler;
+    private final GatewayMetrics metrics;
+    private Activity lastTick = new Activity(0, 0);
+    private long dueNanos;
+
+    /** Creates a monitor that does nothing until it is started. */
+    public EventLoopMonitor(Scheduler scheduler, GatewayMetrics metrics) {
+        this.scheduler = scheduler;
+        this.metrics = metrics;
+    }
+
+    /** Starts to measure. */
+    public void start() {
+        lastTick = total();
+        dueNanos = scheduler.nanoTime() + INTERVAL.toNanos();
+        scheduler.schedule(INTERVAL, this::tick);
+    }
+
+    private void tick() {
+        metrics.loopDelay(Math.max(0, scheduler.nanoTime() - dueNanos));
+        start();
+    }
+
+    /** Returns what the process has done since the last measurement, at most {@code INTERVAL} before a delay began. */
+    public Activity sinceLastTick() {
+        return total().minus(lastTick);
+    }
+
+    private static Activity total() {
+        long collections = ManagementFactory.getGarbageCollectorMXBeans().stream()
+                .mapToLong(GarbageCollectorMXBean::getCollectionTime)
+                .sum();
+        return new Activity(
+                Duration.ofNanos(ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime())
+                        .toMillis(),
+                collections);
+    }
+
+    /**
+     * What the process did in a span of time.
+     *
+     * @param processorMillis processor time of the event loop's thread, in milliseconds
+     * @param collectionMillis time of garbage collections, in milliseconds
+     */
+    public record Activity(long processorMillis, long collectionMillis) {
+
+        private Activity minus(Activity earlier) {
+            return new Activity(processorMillis - earlier.processorMillis, collectionMillis - earlier.collectionMillis);
+        }
+    }
+}
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayMetrics.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayMetrics.java
@@ -29,6 +29,9 @@
 
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final MicrometerTelemetry counters = new MicrometerTelemetry(registry);
+    private final Timer loopDelays = Timer.builder("masticfold.event.loop.delay.seconds")
+            .serviceLevelObjectives(BUCKETS)
+            .register(registry);
     private final Map<String, Timer> timers = new ConcurrentHashMap<>();
 
     @Override
@@ -61,6 +64,11 @@
                 .record(elapsedNanos, TimeUnit.NANOSECONDS);
     }
 
+    /** Records by how much a task of the event loop was late. */
+    void loopDelay(long nanos) {
+        loopDelays.record(nanos, TimeUnit.NANOSECONDS);
+    }
+
     /** Registers a gauge whose value is read at each scrape. */
     public void gauge(String name, Supplier<Number> value) {
         Gauge.builder(name, value).register(registry);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -182,6 +182,7 @@
                         next);
         next.started(exchange);
         if (progress != null) {
+            progress.discardPending();
             watchdog.start();
         }
         if (stages.hasRun()) {
@@ -210,13 +211,11 @@
      * @param target target that wrote the event
      * @param numberInSend number of the event among those of the current send, from 1
      */
-    void eventForwarded(TargetTracker target, StreamEvent event, int numberInSend) {
+    void eventForwarded(TargetTracker target, int numberInSend) {
         if (numberInSend == EVENT_OF_A_BEGUN_ANSWER) {
             services.quarantine().recordCleared(routed.metadata().sharedPartIds());
         }
-        if (event.carriesContent()) {
-            watchdog.progressed();
-        }
+        watchdog.progressed();
         if (!recorder.hasFirstEvent()) {
             binding.firstEventFrom(target.target());
             recorder.recordFirstEvent();
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
@@ -1,14 +1,11 @@
 package io.masticfold.gateway.request;
 
 import io.masticfold.core.forward.SendOutcome;
-import io.masticfold.core.stream.EventSplitter;
-import io.masticfold.core.stream.StreamEvent;
 import io.masticfold.gateway.context.GatewayContext;
 import io.masticfold.gateway.http.Exchange;
 import io.masticfold.gateway.http.ExchangeFailure;
 import io.masticfold.gateway.http.ExchangeListener;
 import io.masticfold.gateway.http.ResponseBody;
-import io.masticfold.gateway.http.ResponseMemory;
 import io.masticfold.gateway.protocol.HeaderNames;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -31,7 +28,7 @@
     private final String attemptId;
     private final long tokens;
     private final @Nullable StreamProgress progress;
-    private final EventSplitter splitter = new EventSplitter();
+    private final @Nullable StreamBody stream;
     private final ResponseBody body;
     private Exchange exchange = Exchange.ENDED;
     private @Nullable HttpResponse response;
@@ -39,8 +36,6 @@
     private boolean forwarding;
     private boolean firstTokenRecorded;
     private boolean ended;
-    private int eventsSeen;
-    private long reservedIncompleteBytes;
 
     /**
      * Creates the listener for one send.
@@ -63,6 +58,8 @@
         this.attemptId = attemptId;
         this.tokens = tokens;
         this.progress = progress;
+        this.stream =
+                progress == null ? null : new StreamBody(context.client().responseMemory(), progress, this::eventRead);
     }
 
     void started(Exchange started) {
@@ -81,7 +78,7 @@
 
     /** Returns the number of events received from the target. */
     int eventsSeen() {
-        return eventsSeen;
+        return stream == null ? 0 : stream.events();
     }
 
     void setAutoRead(boolean enabled) {
@@ -126,53 +123,28 @@
         if (ended) {
             return;
         }
-        if (forwarding) {
-            byte[] chunk = new byte[bytes.readableBytes()];
-            bytes.getBytes(bytes.readerIndex(), chunk);
-            forward(chunk);
+        if (forwarding && stream != null) {
+            stream.append(bytes);
         } else if (!body.append(bytes)) {
             abort("response is too large to be buffered");
         }
     }
 
-    private void forward(byte[] chunk) {
+    @Override
+    public void readComplete() {
         HttpResponse head = response;
-        StreamProgress stream = progress;
-        if (head == null || stream == null) {
+        if (ended || head == null || stream == null) {
             return;
         }
-        try {
-            int before = splitter.incompleteBytes();
-            List<StreamEvent> events = splitter.feed(chunk);
-            if (!reserveIncomplete(before)) {
-                abort("stream is too large to be buffered");
-                return;
-            }
-            for (StreamEvent event : events) {
-                eventsSeen++;
-                recordFirstToken();
-                if (!stream.forward(head.status().code(), head.headers(), event)) {
-                    abort("event " + event.id() + " does not follow " + stream.lastEventId());
-                    return;
-                }
-                run.eventForwarded(target, event, eventsSeen);
-            }
-        } catch (IllegalStateException e) {
-            abort(String.valueOf(e.getMessage()));
+        String problem = stream.forward(head);
+        if (problem != null) {
+            abort(problem);
         }
     }
 
-    private boolean reserveIncomplete(int before) {
-        int growth = splitter.incompleteBytes() - before;
-        ResponseMemory memory = context.client().responseMemory();
-        if (growth > 0 && !memory.reserve(growth)) {
-            return false;
-        }
-        if (growth < 0) {
-            memory.release(-growth);
-        }
-        reservedIncompleteBytes += growth;
-        return true;
+    private void eventRead(int number) {
+        recordFirstToken();
+        run.eventForwarded(target, number);
     }
 
     /** Ends the send because no event has arrived for too long. */
@@ -184,12 +156,13 @@
 
     @Override
     public void end() {
+        readComplete();
         HttpResponse head = response;
         if (ended || head == null) {
             return;
         }
-        if (forwarding) {
-            endStream(head);
+        if (forwarding && progress != null) {
+            endStream(head, progress);
             return;
         }
         SendResult result = classify(head);
@@ -197,18 +170,15 @@
         run.sendEnded(this, result);
     }
 
-    private void endStream(HttpResponse head) {
-        StreamProgress stream = progress;
+    private void endStream(HttpResponse head, StreamProgress forwarded) {
         // Without a length or chunks, a stream that was broken off before its first event ends like a whole one.
-        boolean empty = !framed(head) && eventsSeen == 0 && stream != null && stream.forwardedEvents() == 0;
-        if (splitter.hasIncompleteEvent() || empty) {
+        boolean empty = !framed(head) && eventsSeen() == 0 && forwarded.forwardedEvents() == 0;
+        if ((stream != null && stream.endsWithinEvent()) || empty) {
             recordOutcome(SendOutcome.UNKNOWN);
             run.sendEnded(this, SendResult.failed(ExchangeFailure.CLOSED, "stream ended before or within an event"));
             return;
         }
-        if (stream != null) {
-            stream.start(head.status().code(), head.headers());
-        }
+        forwarded.start(head.status().code(), head.headers());
         recordOutcome(SendOutcome.ANSWERED);
         run.sendEnded(this, SendResult.of(SendOutcome.ANSWERED, "complete"));
     }
@@ -255,6 +225,7 @@
 
     @Override
     public void failed(ExchangeFailure failure, String detail) {
+        readComplete();
         if (ended) {
             return;
         }
@@ -288,8 +259,9 @@
         recordFirstToken();
         target.ended();
         body.release();
-        context.client().responseMemory().release(reservedIncompleteBytes);
-        reservedIncompleteBytes = 0;
+        if (stream != null) {
+            stream.release();
+        }
     }
 
     private void recordFirstToken() {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/ObjectStoreClient.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/ObjectStoreClient.java
@@ -28,6 +28,7 @@
         this.client = client;
         this.scheduler = scheduler;
         this.address = address;
+        client.neverHoldBack(address);
     }
 
     /** Sends a GET request and passes the result to the receiver. */
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PauseRecovery.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PauseRecovery.java
@@ -2,6 +2,7 @@
 
 import io.masticfold.core.time.PauseGuard;
 import io.masticfold.core.time.Scheduler;
+import io.masticfold.gateway.log.EventLoopMonitor;
 import io.masticfold.gateway.log.GatewayEvent;
 import io.masticfold.gateway.log.RateLimitedLog;
 import java.time.Duration;
@@ -24,20 +25,28 @@
     private final PauseGuard guard;
     private final PlatformWatcher watcher;
     private final Scheduler scheduler;
+    private final EventLoopMonitor loop;
     private final RateLimitedLog log;
     private int round;
     private int pending;
 
-    /** Creates the recovery for the watchers of all kinds. */
-    public PauseRecovery(PauseGuard guard, PlatformWatcher watcher, Scheduler scheduler, RateLimitedLog log) {
+    /**
+     * Creates the recovery for the watchers of all kinds.
+     *
+     * @param loop tells what the process did while it made no decisions
+     */
+    public PauseRecovery(
+            PauseGuard guard, PlatformWatcher watcher, Scheduler scheduler, EventLoopMonitor loop, RateLimitedLog log) {
         this.guard = guard;
         this.watcher = watcher;
         this.scheduler = scheduler;
+        this.loop = loop;
         this.log = log;
     }
 
-    /** Starts to detect pauses. */
+    /** Starts to detect pauses. A loop that is busy for so long leaves changes of the state unread as a stop does. */
     public void start() {
+        loop.start();
         guard.start(this::paused);
         check();
     }
@@ -53,8 +62,11 @@
             guard.confirm();
             return;
         }
+        EventLoopMonitor.Activity activity = loop.sinceLastTick();
         log.important(GatewayEvent.PROCESS_PAUSED)
                 .addKeyValue("millis", length.toMillis())
+                .addKeyValue("processorMillis", activity.processorMillis())
+                .addKeyValue("collectionMillis", activity.collectionMillis())
                 .log();
         round++;
         int current = round;
--- a/masticfold-gateway/src/test/java/io/masticfold/gateway/http/ServerConnectionEndTests.java
+++ b/masticfold-gateway/src/test/java/io/masticfold/gateway/http/ServerConnectionEndTests.java
@@ -183,6 +183,9 @@
                     @Override
                     public void content(ByteBuf _bytes) {}
 
+                    @Override
+                    public void readComplete() {}
+
                     @Override
                     public void end() {
                         result.complete("complete");
