Break a begun stream off unless the next response continues it

Cause: whether a response continues the stream was judged by status 200, attempt id and seal. A 2xx other than 200 counted as the answer and was sent as a second response into the body; a 200 without an event counted as the end; an event without an id or a body of another type was forwarded.

Change: StreamProgress owns what may follow once an event has left; the first event of a continuation must have an id that follows, its content type must be that of the stream, and it must bring an event. CallerResponseWriter resets the connection if any layer begins a second response (MF6052).

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/CallerResponseWriter.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/CallerResponseWriter.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway.http;
 
+import io.masticfold.gateway.log.GatewayEvent;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -13,14 +14,19 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Writes the response to one request to its connection. Used on the event loop of the connection only. */
 final class CallerResponseWriter implements CallerResponse {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(CallerResponseWriter.class);
+
     private final CallerConnection connection;
     private final ChannelHandlerContext context;
     private CallerListener listener = CallerListener.NONE;
     private boolean disconnected;
+    private boolean started;
     private boolean ended;
 
     CallerResponseWriter(CallerConnection connection, ChannelHandlerContext context) {
@@ -54,6 +60,10 @@
             content.release();
             return;
         }
+        if (refuseSecondHead()) {
+            content.release();
+            return;
+        }
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(status),
@@ -68,15 +78,31 @@
 
     @Override
     public void start(int status, HttpHeaders headers) {
-        if (ended) {
+        if (ended || refuseSecondHead()) {
             return;
         }
+        started = true;
         headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         connectionHeader(headers);
         context.writeAndFlush(
                 new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers));
     }
 
+    /**
+     * Resets the connection if a response has been started: a second one on its place would be read as a part of its
+     * body.
+     */
+    private boolean refuseSecondHead() {
+        if (started) {
+            LOGGER.error(
+                    "MF{} {}",
+                    GatewayEvent.SECOND_RESPONSE_REFUSED.number(),
+                    GatewayEvent.SECOND_RESPONSE_REFUSED.template());
+            abort();
+        }
+        return started;
+    }
+
     private void connectionHeader(HttpHeaders headers) {
         if (connection.closesAfterResponse()) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
@@ -54,7 +54,9 @@
     STREAM_RECORD_UNREADABLE(6048, Level.ERROR, "a record of streams in the object store cannot be decoded"),
     STREAM_NOT_RESUMED(6049, Level.WARN, "a stream does not go on, since its software version is gone or not known"),
     TARGET_PAUSED(6050, Level.INFO, "a target wants nothing from this gateway for some time"),
-    TARGET_LEAVING(6051, Level.INFO, "a target says in an answer that it leaves; it is sent nothing more");
+    TARGET_LEAVING(6051, Level.INFO, "a target says in an answer that it leaves; it is sent nothing more"),
+    SECOND_RESPONSE_REFUSED(
+            6052, Level.ERROR, "a second response to one request was not written; the connection was reset");
 
     private final EventDefinition definition;
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -69,7 +69,8 @@
         this.routed = routed;
         this.recorder = new RequestRecorder(context, routed);
         this.response = new FinalResponse(context, callerResponse);
-        this.progress = routed.route().kind().streaming() ? new StreamProgress(callerResponse) : null;
+        this.progress =
+                routed.route().kind().streaming() ? new StreamProgress(callerResponse, routed.lastEventId()) : null;
         this.deadline = routed.deadline();
         this.selection = new TargetSelection(context, services);
         this.binding = new StreamVersionBinding(routed, services.versions());
@@ -182,7 +183,7 @@
                         next);
         next.started(exchange);
         if (progress != null) {
-            progress.discardPending();
+            progress.sendBegins();
             watchdog.start();
         }
         if (stages.hasRun()) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RoutedRequest.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RoutedRequest.java
@@ -4,6 +4,7 @@
 import io.masticfold.core.forward.RequestKind;
 import io.masticfold.core.placement.PromptPrefix;
 import io.masticfold.core.quarantine.SuspectKind;
+import io.masticfold.core.stream.StreamEvent;
 import io.masticfold.core.time.Deadline;
 import io.masticfold.gateway.http.CallerRequest;
 import io.masticfold.gateway.protocol.CallerMetadata;
@@ -49,6 +50,19 @@
                         && metadata.resumedAttempt().isEmpty());
     }
 
+    /** Returns the last event that the caller has of a stream that it takes up; {@link StreamEvent#NO_ID} if unknown. */
+    long lastEventId() {
+        if (!takesUpStream() || metadata.lastEventId().isEmpty()) {
+            return StreamEvent.NO_ID;
+        }
+        try {
+            return Long.parseLong(metadata.lastEventId());
+        } catch (NumberFormatException e) {
+            // The ids of the caller's stream are not numbers, so that their order is not known.
+            return StreamEvent.NO_ID;
+        }
+    }
+
     /** Returns what may crash targets: the name of the request and the ids of the shared parts of its prompt. */
     List<String> suspects() {
         List<String> suspects = new ArrayList<>(metadata.sharedPartIds());
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
@@ -11,7 +11,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
 import java.time.Duration;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
@@ -114,6 +113,11 @@
                 abort("response without a valid seal or for another request");
                 return;
             }
+            String problem = progress.problem(head);
+            if (problem != null) {
+                abort(problem);
+                return;
+            }
             forwarding = true;
         }
     }
@@ -171,11 +175,12 @@
     }
 
     private void endStream(HttpResponse head, StreamProgress forwarded) {
-        // Without a length or chunks, a stream that was broken off before its first event ends like a whole one.
-        boolean empty = !framed(head) && eventsSeen() == 0 && forwarded.forwardedEvents() == 0;
-        if ((stream != null && stream.endsWithinEvent()) || empty) {
+        String problem = stream != null && stream.endsWithinEvent()
+                ? "stream ended within an event"
+                : forwarded.problemAtEnd(head);
+        if (problem != null) {
             recordOutcome(SendOutcome.UNKNOWN);
-            run.sendEnded(this, SendResult.failed(ExchangeFailure.CLOSED, "stream ended before or within an event"));
+            run.sendEnded(this, SendResult.failed(ExchangeFailure.CLOSED, problem));
             return;
         }
         forwarded.start(head.status().code(), head.headers());
@@ -183,10 +188,6 @@
         run.sendEnded(this, SendResult.of(SendOutcome.ANSWERED, "complete"));
     }
 
-    private static boolean framed(HttpResponse head) {
-        return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
-    }
-
     private SendResult classify(HttpResponse head) {
         HeaderNames names = context.protocol().headers();
         HttpHeaders headers = head.headers();
@@ -205,6 +206,9 @@
             return SendResult.of(
                     SendOutcome.UNKNOWN, "status " + status + " without a valid seal or for another request");
         }
+        if (complete.success() && progress != null && progress.started()) {
+            return SendResult.of(SendOutcome.UNKNOWN, "status " + status + " does not continue a stream");
+        }
         SendOutcome outcome = complete.success() ? SendOutcome.ANSWERED : SendOutcome.FAILED;
         return new SendResult(outcome, "status " + status, complete, null);
     }
--- a/masticfold-gateway/src/test/java/io/masticfold/gateway/http/HttpServerTests.java
+++ b/masticfold-gateway/src/test/java/io/masticfold/gateway/http/HttpServerTests.java
@@ -22,6 +22,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against requests that are served although their caller has left, and responses out of order. */
 final class HttpServerTests {
@@ -49,6 +51,13 @@
         synchronized (served) {
             served.add(request.path());
         }
+        if (request.path().startsWith("/stream")) {
+            response.start(200, DefaultHttpHeadersFactory.headersFactory().newHeaders());
+            response.write(Unpooled.copiedBuffer("event", StandardCharsets.US_ASCII));
+        }
+        if (request.path().equals("/stream-twice")) {
+            response.start(200, DefaultHttpHeadersFactory.headersFactory().newHeaders());
+        }
         response.send(
                 200,
                 DefaultHttpHeadersFactory.headersFactory().newHeaders(),
@@ -104,4 +113,24 @@
             Thread.currentThread().interrupt();
         }
     }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"/stream-then-whole", "/stream-twice"})
+    void secondResponseIsWrittenIntoTheBodyOfAStream(String path) throws IOException {
+        StringBuilder text = new StringBuilder();
+        try (Socket caller = new Socket(address.getAddress(), address.getPort())) {
+            caller.setSoTimeout(5000);
+            caller.getOutputStream().write(REQUEST.replace("/x", path).getBytes(StandardCharsets.US_ASCII));
+            for (int next = caller.getInputStream().read();
+                    next >= 0;
+                    next = caller.getInputStream().read()) {
+                text.append((char) next);
+            }
+        } catch (IOException e) {
+            text.append("<reset>");
+        }
+
+        assertThat(text.toString()).endsWith("<reset>").doesNotContain("ok");
+        assertThat(text.toString().split("HTTP/1.1", -1).length - 1).isLessThanOrEqualTo(1);
+    }
 }
