Keep a connection open until its caller has read the response

What callers saw: a long response that is read slowly was cut 3.2 s after a gateway was told to stop, with 4.5 s of grace left, and at any time once the idle timeout had passed since the response was handed to the event loop.

Cause: a connection counted as idle when no request was being served, though bytes of the response waited to be written; a close drops them.

Change: such a connection is not idle; the time for the next request and the idle timer count from the end of the write.

Ruled out: the report of another operator as written (late requests that are taken and cut without an answer): they are refused, or answered at the exit.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/CallerConnection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/CallerConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -81,14 +82,26 @@
         }
     }
 
-    /** Returns whether no request is being read, waiting or being served. */
+    /** Returns whether no request is being read, waiting or being served, and every response has left the process. */
     boolean idle() {
-        return current == null && head == null && waiting.isEmpty();
+        return current == null && head == null && waiting.isEmpty() && !flushing();
+    }
+
+    /** Returns whether bytes of a response wait for the caller to read. */
+    private boolean flushing() {
+        ChannelHandlerContext channelContext = context;
+        ChannelOutboundBuffer unsent = channelContext == null
+                ? null
+                : channelContext.channel().unsafe().outboundBuffer();
+        return unsent != null && !unsent.isEmpty();
     }
 
     /** Closes the connection if it has been idle for the given time. */
     void closeIfIdleFor(Duration duration) {
         ChannelHandlerContext channelContext = context;
+        if (flushing()) {
+            idleSinceNanos = time.nanoTime();
+        }
         if (idle() && time.nanoTime() - idleSinceNanos >= duration.toNanos() && channelContext != null) {
             channelContext.close();
         }
@@ -271,6 +284,8 @@
     private void expired(ChannelHandlerContext channelContext, @Nullable BadRequestReason reason) {
         if (reason != null) {
             refuse(reason);
+        } else if (flushing()) {
+            armIdleTimer();
         } else if (idle()) {
             closing = true;
             channelContext.close();
--- a/masticfold-gateway/src/test/java/io/masticfold/gateway/http/HttpServerTests.java
+++ b/masticfold-gateway/src/test/java/io/masticfold/gateway/http/HttpServerTests.java
@@ -14,6 +14,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -28,16 +29,22 @@
 /** Guards against requests that are served although their caller has left, and responses out of order. */
 final class HttpServerTests {
 
+    private static final Duration IDLE_TIMEOUT = Duration.ofMillis(500);
+
+    /** Size of a response, more than the buffers of a connection hold. */
+    private static final int LONG_BODY_BYTES = 32 * 1024 * 1024;
+
     private static final String REQUEST = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final List<String> served = new ArrayList<>();
+    private HttpServer server;
     private InetSocketAddress address;
 
     @BeforeEach
     void start() throws InterruptedException {
-        HttpServer server =
-                new HttpServer(group, TimeSource.system(), () -> RequestLimits.DEFAULT, this::serve, _reason -> {});
+        RequestLimits limits = new RequestLimits(1024, 1024, Duration.ofSeconds(3), IDLE_TIMEOUT);
+        server = new HttpServer(group, TimeSource.system(), () -> limits, this::serve, _reason -> {});
         server.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         address = server.address();
     }
@@ -61,7 +68,9 @@
         response.send(
                 200,
                 DefaultHttpHeadersFactory.headersFactory().newHeaders(),
-                Unpooled.copiedBuffer("ok", StandardCharsets.US_ASCII));
+                request.path().equals("/long")
+                        ? Unpooled.wrappedBuffer(new byte[LONG_BODY_BYTES])
+                        : Unpooled.copiedBuffer("ok", StandardCharsets.US_ASCII));
         return CallerListener.NONE;
     }
 
@@ -133,4 +142,24 @@
         assertThat(text.toString()).endsWith("<reset>").doesNotContain("ok");
         assertThat(text.toString().split("HTTP/1.1", -1).length - 1).isLessThanOrEqualTo(1);
     }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void responseThatItsCallerReadsSlowlyIsCutSinceItsConnectionSeemsIdle(boolean stopping)
+            throws IOException, InterruptedException {
+        long received = 0;
+        try (Socket caller = new Socket(address.getAddress(), address.getPort())) {
+            caller.setSoTimeout(5000);
+            caller.getOutputStream().write(REQUEST.replace("/x", "/long").getBytes(StandardCharsets.US_ASCII));
+            Thread.sleep(IDLE_TIMEOUT.multipliedBy(2).toMillis());
+            if (stopping) {
+                group.next().submit(() -> server.closeIdleFor(Duration.ZERO)).sync();
+            }
+            byte[] buffer = new byte[65536];
+            for (int length = 0; length >= 0; length = caller.getInputStream().read(buffer)) {
+                received += length;
+            }
+        }
+        assertThat(received).isGreaterThan(LONG_BODY_BYTES);
+    }
 }
