--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RoutedRequest.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RoutedRequest.java
@@ -50,7 +50,7 @@
                         && metadata.resumedAttempt().isEmpty());
     }
 
-    /** Returns the last event that the caller has of a stream that it takes up; {@link StreamEvent#NO_ID} if unknown. */
+    /** Returns the last event that the caller has of a stream that it takes up; {@link StreamEvent#NO_ID} if none. */
     long lastEventId() {
         if (!takesUpStream() || metadata.lastEventId().isEmpty()) {
             return StreamEvent.NO_ID;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/StreamProgress.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/StreamProgress.java
@@ -27,7 +27,7 @@
     /**
      * Creates the progress of a stream.
      *
-     * @param lastEventId last event that the caller has from an earlier attempt; {@link StreamEvent#NO_ID} if it has none
+     * @param lastEventId last event that the caller has from an earlier attempt; {@link StreamEvent#NO_ID} if none
      */
     StreamProgress(CallerResponse callerResponse, long lastEventId) {
         this.callerResponse = callerResponse;
@@ -42,7 +42,7 @@
     }
 
     /**
-     * Returns why the response to the current send cannot be a part of this stream, judging by its head; null if it can.
+     * Returns why the response to the current send cannot be a part of this stream by its head; null if it can.
      */
     @Nullable
     String problem(HttpResponse head) {
