Take no request on an expectation once callers know of the shutdown

Cause: one time, 3.2 s, stood both for how long connections are accepted and for how long a request is taken because recent ones were short. Callers know of the stop after 3 s, and targets may turn slow meanwhile.

Change: from 2.8 s on a request must end before the exit by its deadline or timeout.

Ruled out: requests that wait for a stage or room, that are read at the exit, a short grace: each ends with an answer.

--- a/masticfold-core/src/main/java/io/masticfold/core/shutdown/GracefulShutdown.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/shutdown/GracefulShutdown.java
@@ -28,7 +28,7 @@
     /**
      * Begins the shutdown; has no effect if it has begun.
      *
-     * @param untilAnnounced time after which callers know of it and open no more connections
+     * @param untilAnnounced time after which callers know of it
      * @param untilExit time after which the process exits, whatever is in progress
      * @throws IllegalArgumentException if a time is negative
      */
--- a/masticfold-core/src/main/java/io/masticfold/core/shutdown/ShutdownPhase.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/shutdown/ShutdownPhase.java
@@ -18,7 +18,7 @@
             return expected.compareTo(left) <= 0;
         }
     },
-    /** No connections are accepted any more: takes only what must end in time. */
+    /** Callers know that the process is stopping: takes only what must end in time. */
     FINISHING {
         @Override
         boolean accepts(Duration left, Duration _expected, Duration longest) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/StopSequence.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/StopSequence.java
@@ -11,6 +11,12 @@
 /** Carries out the steps of a graceful shutdown at their times. Used on the event loop only. */
 final class StopSequence {
 
+    /**
+     * Time after the stop request by which callers know of it, as the platform asks for readiness twice in three
+     * seconds, less the time of a request on its way. What comes later must end before the exit in any case.
+     */
+    private static final Duration ANNOUNCED_AFTER = Duration.ofMillis(2800);
+
     /** Time after the stop request during which callers that have not noticed it may still open connections. */
     private static final Duration STOP_ACCEPTING_AFTER = Duration.ofMillis(3200);
 
@@ -66,7 +72,7 @@
      */
     void begin(Duration grace) {
         Duration untilExit = notNegative(grace.minus(EXIT_BEFORE_KILL));
-        shutdown.begin(STOP_ACCEPTING_AFTER, untilExit);
+        shutdown.begin(ANNOUNCED_AFTER, untilExit);
         log.important(GatewayEvent.STOPPING)
                 .addKeyValue("connections", front.connections())
                 .log();
