Charge servers for the processor time of their turns, not for waiting

Cause: long turns were charged by the running clock.

Change: turns are charged by the processor time of the loop's thread, and what is counted is capped at twice the burst.

--- a/masticfold-core/src/main/java/io/masticfold/core/time/LoopShares.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/time/LoopShares.java
@@ -21,6 +21,9 @@
     /** Largest charge for one turn; a longer one was held up by something else, such as a pause of the process. */
     static final Duration MAX_CHARGE = Duration.ofMillis(20);
 
+    /** Largest use that is counted, so that no peer is held back for long after many turns at one moment. */
+    private static final Duration MAX_USED = BURST.multipliedBy(2);
+
     /** The peers with long turns get one part of this number together. */
     private static final int DIVISOR = 2;
 
@@ -65,7 +68,7 @@
         long now = time.nanoTime();
         Account account = accounts.computeIfAbsent(peer, _peer -> new Account(now));
         account.settle(now, divisor());
-        account.usedNanos = Math.max(0, account.usedNanos + nanos);
+        account.usedNanos = Math.max(0, Math.min(MAX_USED.toNanos(), account.usedNanos + nanos));
     }
 
     /** Returns the time until more input of the peer is to be read; zero if it may be read now. */
--- a/masticfold-core/src/test/java/io/masticfold/core/time/LoopSharesTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/time/LoopSharesTests.java
@@ -69,6 +69,15 @@
         assertThat(shares.waitTime("peer")).isZero();
     }
 
+    @Test
+    void manyTurnsAtOneMomentHoldAPeerBackForSeconds() {
+        for (int i = 0; i < 100; i++) {
+            shares.charge("peer", LoopShares.MAX_CHARGE.toNanos(), 0);
+        }
+
+        assertThat(shares.waitTime("peer")).isLessThanOrEqualTo(LoopShares.BURST.multipliedBy(2));
+    }
+
     @Test
     void pauseOfTheProcessIsChargedToThePeerThatWasBeingRead() {
         shares.charge("peer", Duration.ofSeconds(10).toNanos(), 0);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ReadThrottle.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ReadThrottle.java
@@ -1,10 +1,10 @@
 package io.masticfold.gateway.http;
 
-import io.masticfold.core.time.TimeSource;
 import io.netty.channel.Channel;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -17,7 +17,7 @@
 
     private final HttpClient owner;
     private final InetSocketAddress address;
-    private final TimeSource time;
+    private final LongSupplier processorNanos;
     private @Nullable Channel channel;
     private long turnStartNanos = NO_TURN;
     private long lastTurnNanos;
@@ -25,10 +25,16 @@
     private boolean heldBack;
     private boolean callerReady = true;
 
-    ReadThrottle(HttpClient owner, InetSocketAddress address, TimeSource time) {
+    /**
+     * Creates the throttle of one connection.
+     *
+     * @param processorNanos processor time that the event loop's thread has used, in nanoseconds; the time of day would
+     *     charge a server for turns in which the thread waits for a processor
+     */
+    ReadThrottle(HttpClient owner, InetSocketAddress address, LongSupplier processorNanos) {
         this.owner = owner;
         this.address = address;
-        this.time = time;
+        this.processorNanos = processorNanos;
     }
 
     /** Begins to apply to the open connection. */
@@ -45,7 +51,7 @@
     /** Called for all bytes that the server has sent, before they are decoded. */
     void bytesReceived() {
         if (turnStartNanos == NO_TURN) {
-            turnStartNanos = time.nanoTime();
+            turnStartNanos = processorNanos.getAsLong();
         }
     }
 
@@ -54,7 +60,7 @@
         if (turnStartNanos == NO_TURN) {
             return;
         }
-        lastTurnNanos = time.nanoTime() - turnStartNanos;
+        lastTurnNanos = processorNanos.getAsLong() - turnStartNanos;
         turnStartNanos = NO_TURN;
         owner.readShares().charge(address, lastTurnNanos, prepaidNanos);
         prepaidNanos = 0;
