Recognise late copies of stage answers by their handles

Change: calls share connections again. An answer with a handle that was received before is a copy; after any answer without new results the idle connections to the server are closed.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageCall.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageCall.java
@@ -90,14 +90,19 @@
         // A late response still names results that occupy storage at the server until their retention time ends.
         Duration responseTimeout = Duration.ofMillis(Math.max((long) longestMillis, spec.resultLifetimeMillis()));
         scheduleStatusQuery(Duration.ofMillis((long) LateCallDetection.queryDelayMillis(expectedMillis(), slowdown)));
-        // Nothing in an answer names its call: on a used connection it could be a late copy of an earlier one.
-        call(request, ConnectionChoice.FRESH, responseTimeout, this::end);
+        call(request, responseTimeout, this::end);
     }
 
-    private void call(
-            FullHttpRequest request, ConnectionChoice choice, Duration timeout, Consumer<CallResult> receiver) {
+    private void call(FullHttpRequest request, Duration timeout, Consumer<CallResult> receiver) {
         request.headers().set(context.protocol().headers().expectedTarget(), server.id());
-        BufferedCall.start(context.client(), context.scheduler(), server.address(), request, choice, timeout, receiver);
+        BufferedCall.start(
+                context.client(),
+                context.scheduler(),
+                server.address(),
+                request,
+                ConnectionChoice.REUSE,
+                timeout,
+                receiver);
     }
 
     private void scheduleStatusQuery(Duration delay) {
@@ -108,7 +113,7 @@
         context.telemetry().count("stage_call_late");
         FullHttpRequest request = BufferedCall.request(
                 HttpMethod.GET, context.protocol().stages().reportUri(), server.address(), new byte[0]);
-        call(request, ConnectionChoice.REUSE, STATUS_QUERY_TIMEOUT, result -> {
+        call(request, STATUS_QUERY_TIMEOUT, result -> {
             if (!ended) {
                 handleStatus(reportsWork(result));
             }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServer.java
@@ -48,6 +48,7 @@
     private final TargetRecord server;
     private final StageServerState serverState;
     private final ResultReleaser releaser;
+    private final ReceivedHandles receivedHandles = new ReceivedHandles();
     private final StageCallLog callLog;
     private final StageServerListener listener;
     private @Nullable StageCall current;
@@ -161,6 +162,11 @@
                 List<PieceOutcome> outcomes = context.protocol()
                         .stages()
                         .decodeRun(answered.body(), call.pieces().size());
+                if (receivedHandles.containsCopy(outcomes)) {
+                    closeIdleConnections();
+                    callLog.failed(call, "late copy of the answer to an earlier call");
+                    return;
+                }
                 List<String> unused = new ArrayList<>();
                 for (int i = 0; i < outcomes.size(); i++) {
                     if (outcomes.get(i).kind() == PieceOutcome.Kind.MADE) {
@@ -178,6 +184,7 @@
     private void handleTimelyResult(StageCall call, CallResult result) {
         String problem = handleResult(call.spec(), call.pieces(), result);
         if (!problem.isEmpty()) {
+            closeIdleConnections();
             callLog.failed(call, problem);
             return;
         }
@@ -202,6 +209,10 @@
         if (answered.status() == HttpResponseStatus.OK.code()) {
             try {
                 List<PieceOutcome> outcomes = context.protocol().stages().decodeRun(answered.body(), batch.size());
+                if (receivedHandles.containsCopy(outcomes)) {
+                    giveBack(batch);
+                    return "copy of the answer to an earlier call";
+                }
                 for (int i = 0; i < batch.size(); i++) {
                     handleOutcome(spec, batch.get(i), outcomes.get(i));
                 }
@@ -226,6 +237,14 @@
         return "status " + answered.status();
     }
 
+    /**
+     * Closes the connection of an answer that may be a copy of an earlier one: the answer to the call may follow, and
+     * nothing in it names the call. It becomes idle after the events that are pending.
+     */
+    private void closeIdleConnections() {
+        context.scheduler().schedule(Duration.ZERO, () -> context.client().closeIdle(server.address()));
+    }
+
     private void recordSignals(TargetSignals signals) {
         signals.limit().ifPresent(serverState::pauseForLimit);
         serverState.pauseAsAsked(signals.pause());
