Close the connection of a stage answer without new results at once

Change: the answer carries its ended exchange; cancelling it closes the connection in the same turn. Answers that bring no result at all count as doubtful, too.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/BufferedCall.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/BufferedCall.java
@@ -132,7 +132,7 @@
         HttpResponse head = response;
         if (!ended && head != null) {
             finish(new CallResult.Answered(
-                    head.status().code(), head.headers(), body.toByteArray(), firstOnConnection));
+                    head.status().code(), head.headers(), body.toByteArray(), firstOnConnection, exchange));
         }
     }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/CallResult.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/CallResult.java
@@ -12,8 +12,10 @@
      * @param headers response headers
      * @param body complete body
      * @param firstOnConnection whether no earlier exchange used the connection
+     * @param exchange the ended exchange; cancelling it closes the connection, if the response may not be its own
      */
-    record Answered(int status, HttpHeaders headers, byte[] body, boolean firstOnConnection) implements CallResult {}
+    record Answered(int status, HttpHeaders headers, byte[] body, boolean firstOnConnection, Exchange exchange)
+            implements CallResult {}
 
     /**
      * A call without a complete response.
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpClient.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpClient.java
@@ -217,14 +217,6 @@
         readShares.forgetIdle();
     }
 
-    /** Closes the idle connections to a server. */
-    public void closeIdle(InetSocketAddress address) {
-        Deque<Idle> connections = idle.remove(address);
-        if (connections != null) {
-            connections.forEach(entry -> entry.connection().close());
-        }
-    }
-
     private void closeExpired(Deque<Idle> connections) {
         long oldest = time.nanoTime() - IDLE_TIMEOUT.toNanos();
         for (Iterator<Idle> entries = connections.iterator(); entries.hasNext(); ) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServer.java
@@ -163,7 +163,7 @@
                         .stages()
                         .decodeRun(answered.body(), call.pieces().size());
                 if (receivedHandles.containsCopy(outcomes)) {
-                    closeIdleConnections();
+                    closeConnection(result);
                     callLog.failed(call, "late copy of the answer to an earlier call");
                     return;
                 }
@@ -176,6 +176,7 @@
                 }
                 releaser.release(unused, false);
             } catch (MasticfoldException e) {
+                closeConnection(result);
                 callLog.failed(call, "malformed late response: " + e.getMessage());
             }
         }
@@ -184,7 +185,6 @@
     private void handleTimelyResult(StageCall call, CallResult result) {
         String problem = handleResult(call.spec(), call.pieces(), result);
         if (!problem.isEmpty()) {
-            closeIdleConnections();
             callLog.failed(call, problem);
             return;
         }
@@ -205,11 +205,18 @@
             return failed.detail();
         }
         CallResult.Answered answered = (CallResult.Answered) result;
+        if (answered.status() != HttpResponseStatus.OK.code()) {
+            closeConnection(result);
+        }
         recordSignals(context.protocol().decodeSignals(answered.status(), answered.headers()));
         if (answered.status() == HttpResponseStatus.OK.code()) {
             try {
                 List<PieceOutcome> outcomes = context.protocol().stages().decodeRun(answered.body(), batch.size());
-                if (receivedHandles.containsCopy(outcomes)) {
+                boolean copy = receivedHandles.containsCopy(outcomes);
+                if (copy || outcomes.stream().noneMatch(outcome -> outcome.kind() == PieceOutcome.Kind.MADE)) {
+                    closeConnection(result);
+                }
+                if (copy) {
                     giveBack(batch);
                     return "copy of the answer to an earlier call";
                 }
@@ -218,6 +225,7 @@
                 }
                 return "";
             } catch (MasticfoldException e) {
+                closeConnection(result);
                 giveBack(batch);
                 return "malformed response: " + e.getMessage();
             }
@@ -239,10 +247,12 @@
 
     /**
      * Closes the connection of an answer that may be a copy of an earlier one: the answer to the call may follow, and
-     * nothing in it names the call. It becomes idle after the events that are pending.
+     * nothing in it names the call.
      */
-    private void closeIdleConnections() {
-        context.scheduler().schedule(Duration.ZERO, () -> context.client().closeIdle(server.address()));
+    private static void closeConnection(CallResult result) {
+        if (result instanceof CallResult.Answered answered) {
+            answered.exchange().cancel();
+        }
     }
 
     private void recordSignals(TargetSignals signals) {
