--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -12,6 +12,7 @@
 import io.masticfold.gateway.http.HttpClient;
 import io.masticfold.gateway.http.HttpServer;
 import io.masticfold.gateway.limit.TargetRateLimits;
+import io.masticfold.gateway.load.TargetLoads;
 import io.masticfold.gateway.log.EventLoopMonitor;
 import io.masticfold.gateway.log.GatewayEvent;
 import io.masticfold.gateway.log.GatewayMetrics;
@@ -64,6 +65,7 @@
     private final PoisonQuarantine quarantine;
     private final StreamVersionRegistry versions;
     private final TargetRateLimits limits;
+    private final TargetLoads loads;
     private final QuarantineStore quarantineStore;
     private final StageDispatcher stageDispatcher;
     private final StageAdmissionQueue admissionQueue;
@@ -115,6 +117,7 @@
                 telemetry,
                 new StreamRecordStore(store, protocol.store(), scheduler, log, settings.node()));
         this.limits = new TargetRateLimits(scheduler, view, log, telemetry, settings.node());
+        this.loads = new TargetLoads(scheduler, view, telemetry);
         this.quarantineStore = new QuarantineStore(store, protocol.store(), scheduler, log);
         this.stageDispatcher = new StageDispatcher(context, _name -> retryBudget());
         this.admissionQueue = new StageAdmissionQueue(context);
@@ -124,13 +127,14 @@
                 settings.node(),
                 view::gateways,
                 settings.seeds(),
-                new PeerDispatcher(stageDispatcher, peerStateExchange, platformWatcher, quarantine, versions, limits));
+                new PeerDispatcher(
+                        stageDispatcher, peerStateExchange, platformWatcher, quarantine, versions, limits, loads));
         GracefulShutdown shutdown = new GracefulShutdown(scheduler);
         this.forwardHandler = new ForwardHandler(
                 context,
                 stageDispatcher,
                 admissionQueue,
-                new TargetPools(context, limits, _name -> retryBudget()),
+                new TargetPools(context, limits, loads, _name -> retryBudget()),
                 quarantine,
                 versions,
                 limits,
@@ -162,7 +166,7 @@
     }
 
     private HttpServer metricsServer(TimeSource time, GatewayMetrics meters) {
-        new GatewayGauges(view, peers, quarantine, limits, platformWatcher, admissionQueue, front, client)
+        new GatewayGauges(view, peers, quarantine, limits, loads, platformWatcher, admissionQueue, front, client)
                 .register(meters);
         return new HttpServer(
                 group,
@@ -197,7 +201,10 @@
         loop.execute(() -> {
             platformWatcher.start();
             pauseRecovery.start();
-            stageDispatcher.start(peers, platformWatcher::addTo);
+            stageDispatcher.start(peers, status -> {
+                platformWatcher.addTo(status);
+                loads.addTo(status);
+            });
             platformWatcher.shareReads(peers::reachable);
             peerStateExchange.start(peers);
             quarantine.start(peers, quarantineStore);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayGauges.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayGauges.java
@@ -4,6 +4,7 @@
 import io.masticfold.gateway.http.HttpClient;
 import io.masticfold.gateway.http.HttpServer;
 import io.masticfold.gateway.limit.TargetRateLimits;
+import io.masticfold.gateway.load.TargetLoads;
 import io.masticfold.gateway.log.GatewayMetrics;
 import io.masticfold.gateway.peer.PeerLinks;
 import io.masticfold.gateway.quarantine.PoisonQuarantine;
@@ -17,6 +18,7 @@
         PeerLinks peers,
         PoisonQuarantine quarantine,
         TargetRateLimits limits,
+        TargetLoads loads,
         PlatformWatcher platformWatcher,
         StageAdmissionQueue admissionQueue,
         HttpServer front,
@@ -32,6 +34,7 @@
         meters.gauge("masticfold.connections.opened", client::opened);
         meters.gauge("masticfold.servers.held.back", client::heldBackServers);
         meters.gauge("masticfold.targets.limited", limits::limitedTargets);
+        meters.gauge("masticfold.pools.paced", loads::pacedPools);
         meters.gauge("masticfold.store.reachable", () -> platformWatcher.storeReachable() ? 1 : 0);
         meters.gauge("masticfold.configuration.version", view::configVersion);
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/PeerDispatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/PeerDispatcher.java
@@ -1,6 +1,7 @@
 package io.masticfold.gateway;
 
 import io.masticfold.gateway.limit.TargetRateLimits;
+import io.masticfold.gateway.load.TargetLoads;
 import io.masticfold.gateway.peer.PeerCaller;
 import io.masticfold.gateway.peer.PeerListener;
 import io.masticfold.gateway.peer.proto.PeerFrame;
@@ -19,6 +20,7 @@
     private final PoisonQuarantine quarantine;
     private final StreamVersionRegistry versions;
     private final TargetRateLimits limits;
+    private final TargetLoads loads;
 
     PeerDispatcher(
             StageDispatcher stageDispatcher,
@@ -26,13 +28,15 @@
             PlatformWatcher platformWatcher,
             PoisonQuarantine quarantine,
             StreamVersionRegistry versions,
-            TargetRateLimits limits) {
+            TargetRateLimits limits,
+            TargetLoads loads) {
         this.stageDispatcher = stageDispatcher;
         this.peerStateExchange = peerStateExchange;
         this.platformWatcher = platformWatcher;
         this.quarantine = quarantine;
         this.versions = versions;
         this.limits = limits;
+        this.loads = loads;
     }
 
     @Override
@@ -49,6 +53,7 @@
             if (frame.hasStatus()) {
                 peerStateExchange.handleStatus(peer, frame.getStatus());
                 platformWatcher.handleStatus(peer, frame.getStatus());
+                loads.handle(peer, frame.getStatus());
             }
             stageDispatcher.handleResponse(peer, frame);
         }
@@ -58,6 +63,7 @@
     public void connectionLost(String peer) {
         stageDispatcher.peerDisconnected(peer);
         platformWatcher.peerDisconnected(peer);
+        loads.peerDisconnected(peer);
     }
 
     @Override
@@ -66,6 +72,7 @@
             quarantine.greet(caller);
             versions.greet(caller);
             limits.greet(caller);
+            loads.peerConnected();
         } else if (frame.hasKnowledgeRequest()) {
             peerStateExchange.handleRequest(caller, frame.getKnowledgeRequest());
         } else {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/Peer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/Peer.java
@@ -76,6 +76,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_masticfold_gateway_PeerStatus_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_masticfold_gateway_TargetObservation_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_masticfold_gateway_TargetObservation_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_masticfold_gateway_KindRead_descriptor;
   static final 
@@ -126,6 +131,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_masticfold_gateway_BegunStream_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_masticfold_gateway_RolloutStatus_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_masticfold_gateway_RolloutStatus_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_masticfold_gateway_VersionCount_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_masticfold_gateway_VersionCount_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_masticfold_gateway_KnowledgeRequest_descriptor;
   static final 
@@ -160,7 +175,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\022masticfold.gateway\"\250\005\n\tPee" +
+      "\n\npeer.proto\022\022masticfold.gateway\"\345\005\n\tPee" +
       "rFrame\022.\n\005hello\030\001 \001(\0132\035.masticfold.gatew" +
       "ay.PeerHelloH\000\022/\n\005order\030\002 \001(\0132\036.masticfo" +
       "ld.gateway.PieceOrderH\000\022/\n\005reply\030\003 \001(\0132\036" +
@@ -177,62 +192,77 @@
       "gateway.PoisonEvidenceH\000\0227\n\014named_limits" +
       "\030\013 \001(\0132\037.masticfold.gateway.NamedLimitsH" +
       "\000\022=\n\017stream_versions\030\014 \001(\0132\".masticfold." +
-      "gateway.StreamVersionsH\000B\t\n\007message\"\031\n\tP" +
-      "eerHello\022\014\n\004node\030\001 \001(\t\"\305\001\n\nPieceOrder\022\014\n" +
-      "\004pool\030\001 \001(\t\022\016\n\006server\030\002 \001(\t\022)\n\006pieces\030\003 " +
-      "\003(\0132\031.masticfold.gateway.Piece\022\021\n\tpartit" +
-      "ion\030\004 \001(\r\022\022\n\nany_server\030\005 \001(\010\0222\n\013input_b" +
-      "ytes\030\006 \003(\0132\035.masticfold.gateway.ZoneByte" +
-      "s\022\023\n\013reader_zone\030\007 \001(\t\"(\n\tZoneBytes\022\014\n\004z" +
-      "one\030\001 \001(\t\022\r\n\005bytes\030\002 \001(\004\"\274\001\n\005Piece\022\r\n\005or" +
-      "der\030\001 \001(\004\022\017\n\007attempt\030\002 \001(\t\022\r\n\005stage\030\003 \001(" +
-      "\r\022\r\n\005piece\030\004 \001(\r\022\023\n\013left_millis\030\005 \001(\r\022\r\n" +
-      "\005bytes\030\006 \001(\004\022\014\n\004rank\030\007 \001(\r\022\022\n\nage_millis" +
-      "\030\010 \001(\r\022\022\n\ndue_millis\030\013 \001(\021\022\013\n\003key\030\t \001(\t\022" +
-      "\016\n\006inputs\030\n \003(\t\"Z\n\nPieceReply\022\r\n\005order\030\001" +
-      " \001(\004\022\017\n\007outcome\030\002 \001(\r\022\016\n\006handle\030\003 \001(\t\022\016\n" +
-      "\006server\030\004 \001(\t\022\014\n\004zone\030\005 \001(\t\"\033\n\nInputsRea" +
-      "d\022\r\n\005order\030\001 \001(\004\";\n\013PieceCancel\022\014\n\004pool\030" +
-      "\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\016\n\006orders\030\003 \003(\004\"N\n" +
-      "\rResultRelease\022\014\n\004pool\030\001 \001(\t\022\016\n\006server\030\002" +
-      " \001(\t\022\017\n\007handles\030\003 \003(\t\022\016\n\006needed\030\004 \001(\010\"\327\001" +
-      "\n\nPeerStatus\0222\n\007servers\030\001 \003(\0132!.masticfo" +
-      "ld.gateway.ServerBacklog\022\020\n\010draining\030\002 \001" +
-      "(\010\0227\n\013commitments\030\003 \003(\0132\".masticfold.gat" +
-      "eway.PoolCommitment\022\035\n\025configuration_ver" +
-      "sion\030\004 \001(\004\022+\n\005reads\030\005 \003(\0132\034.masticfold.g" +
-      "ateway.KindRead\"I\n\010KindRead\022\014\n\004kind\030\001 \001(" +
-      "\r\022\013\n\003era\030\002 \001(\004\022\016\n\006digest\030\003 \001(\006\022\022\n\nage_mi" +
-      "llis\030\004 \001(\r\".\n\016PoolCommitment\022\014\n\004pool\030\001 \001" +
-      "(\t\022\016\n\006pieces\030\002 \001(\r\"k\n\rServerBacklog\022\016\n\006s" +
-      "erver\030\001 \001(\t\022\026\n\016backlog_millis\030\002 \001(\r\022\022\n\nr" +
-      "oom_bytes\030\003 \001(\004\022\036\n\026on_time_backlog_milli" +
-      "s\030\004 \001(\r\"|\n\016PoisonEvidence\022/\n\004ends\030\001 \003(\0132" +
-      "!.masticfold.gateway.CrashedTarget\022\017\n\007cl" +
-      "eared\030\002 \003(\t\022\023\n\013quarantined\030\003 \003(\t\022\023\n\013know" +
-      "n_sound\030\004 \003(\t\"B\n\rCrashedTarget\022\016\n\006target" +
-      "\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\r\022\r\n\005parts\030\003 \003(" +
-      "\t\"=\n\013NamedLimits\022.\n\006limits\030\001 \003(\0132\036.masti" +
-      "cfold.gateway.NamedLimit\"D\n\nNamedLimit\022\016" +
-      "\n\006target\030\001 \001(\t\022\022\n\nper_second\030\002 \001(\001\022\022\n\nag" +
-      "e_millis\030\003 \001(\r\"\205\001\n\016StreamVersions\022/\n\005poo" +
-      "ls\030\001 \003(\0132 .masticfold.gateway.PoolVersio" +
-      "ns\0220\n\007streams\030\002 \003(\0132\037.masticfold.gateway" +
-      ".BegunStream\022\020\n\010complete\030\003 \001(\010\".\n\014PoolVe" +
-      "rsions\022\014\n\004pool\030\001 \001(\t\022\020\n\010versions\030\002 \003(\t\"Q" +
-      "\n\013BegunStream\022\017\n\007attempt\030\001 \001(\t\022\014\n\004pool\030\002" +
-      " \001(\t\022\017\n\007version\030\003 \001(\t\022\022\n\nage_millis\030\004 \001(" +
-      "\r\"H\n\020KnowledgeRequest\0224\n\trevisions\030\001 \003(\013" +
-      "2!.masticfold.gateway.KnownRevision\"<\n\rK" +
-      "nownRevision\022\014\n\004kind\030\001 \001(\r\022\020\n\010revision\030\002" +
-      " \001(\004\022\013\n\003era\030\003 \001(\004\"9\n\tKnowledge\022,\n\005kinds\030" +
-      "\001 \003(\0132\035.masticfold.gateway.KnownKind\"j\n\t" +
-      "KnownKind\022\014\n\004kind\030\001 \001(\r\022\020\n\010revision\030\002 \001(" +
-      "\004\0220\n\007objects\030\003 \003(\0132\037.masticfold.gateway." +
-      "KnownObject\022\013\n\003era\030\004 \001(\004\">\n\013KnownObject\022" +
-      "\014\n\004name\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\017\n\007conte" +
-      "nt\030\003 \001(\014B&\n io.masticfold.gateway.peer.p" +
-      "rotoH\001P\001b\006proto3"
+      "gateway.StreamVersionsH\000\022;\n\016rollout_stat" +
+      "us\030\r \001(\0132!.masticfold.gateway.RolloutSta" +
+      "tusH\000B\t\n\007message\"\031\n\tPeerHello\022\014\n\004node\030\001 " +
+      "\001(\t\"\305\001\n\nPieceOrder\022\014\n\004pool\030\001 \001(\t\022\016\n\006serv" +
+      "er\030\002 \001(\t\022)\n\006pieces\030\003 \003(\0132\031.masticfold.ga" +
+      "teway.Piece\022\021\n\tpartition\030\004 \001(\r\022\022\n\nany_se" +
+      "rver\030\005 \001(\010\0222\n\013input_bytes\030\006 \003(\0132\035.mastic" +
+      "fold.gateway.ZoneBytes\022\023\n\013reader_zone\030\007 " +
+      "\001(\t\"(\n\tZoneBytes\022\014\n\004zone\030\001 \001(\t\022\r\n\005bytes\030" +
+      "\002 \001(\004\"\274\001\n\005Piece\022\r\n\005order\030\001 \001(\004\022\017\n\007attemp" +
+      "t\030\002 \001(\t\022\r\n\005stage\030\003 \001(\r\022\r\n\005piece\030\004 \001(\r\022\023\n" +
+      "\013left_millis\030\005 \001(\r\022\r\n\005bytes\030\006 \001(\004\022\014\n\004ran" +
+      "k\030\007 \001(\r\022\022\n\nage_millis\030\010 \001(\r\022\022\n\ndue_milli" +
+      "s\030\013 \001(\021\022\013\n\003key\030\t \001(\t\022\016\n\006inputs\030\n \003(\t\"Z\n\n" +
+      "PieceReply\022\r\n\005order\030\001 \001(\004\022\017\n\007outcome\030\002 \001" +
+      "(\r\022\016\n\006handle\030\003 \001(\t\022\016\n\006server\030\004 \001(\t\022\014\n\004zo" +
+      "ne\030\005 \001(\t\"\033\n\nInputsRead\022\r\n\005order\030\001 \001(\004\";\n" +
+      "\013PieceCancel\022\014\n\004pool\030\001 \001(\t\022\016\n\006server\030\002 \001" +
+      "(\t\022\016\n\006orders\030\003 \003(\004\"N\n\rResultRelease\022\014\n\004p" +
+      "ool\030\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\017\n\007handles\030\003 \003" +
+      "(\t\022\016\n\006needed\030\004 \001(\010\"\217\002\n\nPeerStatus\0222\n\007ser" +
+      "vers\030\001 \003(\0132!.masticfold.gateway.ServerBa" +
+      "cklog\022\020\n\010draining\030\002 \001(\010\0227\n\013commitments\030\003" +
+      " \003(\0132\".masticfold.gateway.PoolCommitment" +
+      "\022\035\n\025configuration_version\030\004 \001(\004\022+\n\005reads" +
+      "\030\005 \003(\0132\034.masticfold.gateway.KindRead\0226\n\007" +
+      "targets\030\006 \003(\0132%.masticfold.gateway.Targe" +
+      "tObservation\"\336\001\n\021TargetObservation\022\016\n\006ta" +
+      "rget\030\001 \001(\t\022\014\n\004pool\030\002 \001(\t\022\021\n\tin_flight\030\003 " +
+      "\001(\r\022\025\n\rqueued_tokens\030\004 \001(\r\022\020\n\010answered\030\005" +
+      " \001(\r\022\016\n\006failed\030\006 \001(\r\022\027\n\017observed_millis\030" +
+      "\007 \001(\r\022\027\n\017expected_millis\030\010 \001(\r\022\024\n\014pace_p" +
+      "ercent\030\t \001(\r\022\027\n\017pace_age_millis\030\n \001(\r\"I\n" +
+      "\010KindRead\022\014\n\004kind\030\001 \001(\r\022\013\n\003era\030\002 \001(\004\022\016\n\006" +
+      "digest\030\003 \001(\006\022\022\n\nage_millis\030\004 \001(\r\".\n\016Pool" +
+      "Commitment\022\014\n\004pool\030\001 \001(\t\022\016\n\006pieces\030\002 \001(\r" +
+      "\"k\n\rServerBacklog\022\016\n\006server\030\001 \001(\t\022\026\n\016bac" +
+      "klog_millis\030\002 \001(\r\022\022\n\nroom_bytes\030\003 \001(\004\022\036\n" +
+      "\026on_time_backlog_millis\030\004 \001(\r\"|\n\016PoisonE" +
+      "vidence\022/\n\004ends\030\001 \003(\0132!.masticfold.gatew" +
+      "ay.CrashedTarget\022\017\n\007cleared\030\002 \003(\t\022\023\n\013qua" +
+      "rantined\030\003 \003(\t\022\023\n\013known_sound\030\004 \003(\t\"B\n\rC" +
+      "rashedTarget\022\016\n\006target\030\001 \001(\t\022\022\n\nage_mill" +
+      "is\030\002 \001(\r\022\r\n\005parts\030\003 \003(\t\"=\n\013NamedLimits\022." +
+      "\n\006limits\030\001 \003(\0132\036.masticfold.gateway.Name" +
+      "dLimit\"D\n\nNamedLimit\022\016\n\006target\030\001 \001(\t\022\022\n\n" +
+      "per_second\030\002 \001(\001\022\022\n\nage_millis\030\003 \001(\r\"\205\001\n" +
+      "\016StreamVersions\022/\n\005pools\030\001 \003(\0132 .masticf" +
+      "old.gateway.PoolVersions\0220\n\007streams\030\002 \003(" +
+      "\0132\037.masticfold.gateway.BegunStream\022\020\n\010co" +
+      "mplete\030\003 \001(\010\".\n\014PoolVersions\022\014\n\004pool\030\001 \001" +
+      "(\t\022\020\n\010versions\030\002 \003(\t\"Q\n\013BegunStream\022\017\n\007a" +
+      "ttempt\030\001 \001(\t\022\014\n\004pool\030\002 \001(\t\022\017\n\007version\030\003 " +
+      "\001(\t\022\022\n\nage_millis\030\004 \001(\r\"\244\001\n\rRolloutStatu" +
+      "s\022\014\n\004pool\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\022\r\n\005orde" +
+      "r\030\003 \001(\004\0220\n\006counts\030\004 \003(\0132 .masticfold.gat" +
+      "eway.VersionCount\022\017\n\007stopped\030\005 \001(\010\022\r\n\005mo" +
+      "ved\030\006 \001(\010\022\023\n\013incarnation\030\007 \001(\004\"l\n\014Versio" +
+      "nCount\022\017\n\007version\030\001 \001(\t\022\r\n\005route\030\002 \001(\t\022\014" +
+      "\n\004sent\030\003 \001(\004\022\020\n\010answered\030\004 \001(\004\022\016\n\006failed" +
+      "\030\005 \001(\004\022\014\n\004slow\030\006 \001(\004\"H\n\020KnowledgeRequest" +
+      "\0224\n\trevisions\030\001 \003(\0132!.masticfold.gateway" +
+      ".KnownRevision\"<\n\rKnownRevision\022\014\n\004kind\030" +
+      "\001 \001(\r\022\020\n\010revision\030\002 \001(\004\022\013\n\003era\030\003 \001(\004\"9\n\t" +
+      "Knowledge\022,\n\005kinds\030\001 \003(\0132\035.masticfold.ga" +
+      "teway.KnownKind\"j\n\tKnownKind\022\014\n\004kind\030\001 \001" +
+      "(\r\022\020\n\010revision\030\002 \001(\004\0220\n\007objects\030\003 \003(\0132\037." +
+      "masticfold.gateway.KnownObject\022\013\n\003era\030\004 " +
+      "\001(\004\">\n\013KnownObject\022\014\n\004name\030\001 \001(\t\022\020\n\010revi" +
+      "sion\030\002 \001(\004\022\017\n\007content\030\003 \001(\014B&\n io.mastic" +
+      "fold.gateway.peer.protoH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -243,7 +273,7 @@
     internal_static_masticfold_gateway_PeerFrame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_PeerFrame_descriptor,
-        new java.lang.String[] { "Hello", "Order", "Reply", "Cancel", "Release", "Status", "KnowledgeRequest", "Knowledge", "InputsRead", "PoisonEvidence", "NamedLimits", "StreamVersions", "Message", });
+        new java.lang.String[] { "Hello", "Order", "Reply", "Cancel", "Release", "Status", "KnowledgeRequest", "Knowledge", "InputsRead", "PoisonEvidence", "NamedLimits", "StreamVersions", "RolloutStatus", "Message", });
     internal_static_masticfold_gateway_PeerHello_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_masticfold_gateway_PeerHello_fieldAccessorTable = new
@@ -297,93 +327,111 @@
     internal_static_masticfold_gateway_PeerStatus_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_PeerStatus_descriptor,
-        new java.lang.String[] { "Servers", "Draining", "Commitments", "ConfigurationVersion", "Reads", });
-    internal_static_masticfold_gateway_KindRead_descriptor =
+        new java.lang.String[] { "Servers", "Draining", "Commitments", "ConfigurationVersion", "Reads", "Targets", });
+    internal_static_masticfold_gateway_TargetObservation_descriptor =
       getDescriptor().getMessageType(10);
+    internal_static_masticfold_gateway_TargetObservation_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_masticfold_gateway_TargetObservation_descriptor,
+        new java.lang.String[] { "Target", "Pool", "InFlight", "QueuedTokens", "Answered", "Failed", "ObservedMillis", "ExpectedMillis", "PacePercent", "PaceAgeMillis", });
+    internal_static_masticfold_gateway_KindRead_descriptor =
+      getDescriptor().getMessageType(11);
     internal_static_masticfold_gateway_KindRead_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_KindRead_descriptor,
         new java.lang.String[] { "Kind", "Era", "Digest", "AgeMillis", });
     internal_static_masticfold_gateway_PoolCommitment_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_masticfold_gateway_PoolCommitment_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_PoolCommitment_descriptor,
         new java.lang.String[] { "Pool", "Pieces", });
     internal_static_masticfold_gateway_ServerBacklog_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_masticfold_gateway_ServerBacklog_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_ServerBacklog_descriptor,
         new java.lang.String[] { "Server", "BacklogMillis", "RoomBytes", "OnTimeBacklogMillis", });
     internal_static_masticfold_gateway_PoisonEvidence_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_masticfold_gateway_PoisonEvidence_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_PoisonEvidence_descriptor,
         new java.lang.String[] { "Ends", "Cleared", "Quarantined", "KnownSound", });
     internal_static_masticfold_gateway_CrashedTarget_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_masticfold_gateway_CrashedTarget_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_CrashedTarget_descriptor,
         new java.lang.String[] { "Target", "AgeMillis", "Parts", });
     internal_static_masticfold_gateway_NamedLimits_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_masticfold_gateway_NamedLimits_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_NamedLimits_descriptor,
         new java.lang.String[] { "Limits", });
     internal_static_masticfold_gateway_NamedLimit_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_masticfold_gateway_NamedLimit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_NamedLimit_descriptor,
         new java.lang.String[] { "Target", "PerSecond", "AgeMillis", });
     internal_static_masticfold_gateway_StreamVersions_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_masticfold_gateway_StreamVersions_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_StreamVersions_descriptor,
         new java.lang.String[] { "Pools", "Streams", "Complete", });
     internal_static_masticfold_gateway_PoolVersions_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(19);
     internal_static_masticfold_gateway_PoolVersions_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_PoolVersions_descriptor,
         new java.lang.String[] { "Pool", "Versions", });
     internal_static_masticfold_gateway_BegunStream_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(20);
     internal_static_masticfold_gateway_BegunStream_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_BegunStream_descriptor,
         new java.lang.String[] { "Attempt", "Pool", "Version", "AgeMillis", });
+    internal_static_masticfold_gateway_RolloutStatus_descriptor =
+      getDescriptor().getMessageType(21);
+    internal_static_masticfold_gateway_RolloutStatus_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_masticfold_gateway_RolloutStatus_descriptor,
+        new java.lang.String[] { "Pool", "Version", "Order", "Counts", "Stopped", "Moved", "Incarnation", });
+    internal_static_masticfold_gateway_VersionCount_descriptor =
+      getDescriptor().getMessageType(22);
+    internal_static_masticfold_gateway_VersionCount_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_masticfold_gateway_VersionCount_descriptor,
+        new java.lang.String[] { "Version", "Route", "Sent", "Answered", "Failed", "Slow", });
     internal_static_masticfold_gateway_KnowledgeRequest_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(23);
     internal_static_masticfold_gateway_KnowledgeRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_KnowledgeRequest_descriptor,
         new java.lang.String[] { "Revisions", });
     internal_static_masticfold_gateway_KnownRevision_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(24);
     internal_static_masticfold_gateway_KnownRevision_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_KnownRevision_descriptor,
         new java.lang.String[] { "Kind", "Revision", "Era", });
     internal_static_masticfold_gateway_Knowledge_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(25);
     internal_static_masticfold_gateway_Knowledge_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_Knowledge_descriptor,
         new java.lang.String[] { "Kinds", });
     internal_static_masticfold_gateway_KnownKind_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(26);
     internal_static_masticfold_gateway_KnownKind_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_KnownKind_descriptor,
         new java.lang.String[] { "Kind", "Revision", "Objects", "Era", });
     internal_static_masticfold_gateway_KnownObject_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(27);
     internal_static_masticfold_gateway_KnownObject_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_KnownObject_descriptor,
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerFrame.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerFrame.java
@@ -66,6 +66,7 @@
     POISON_EVIDENCE(10),
     NAMED_LIMITS(11),
     STREAM_VERSIONS(12),
+    ROLLOUT_STATUS(13),
     MESSAGE_NOT_SET(0);
     private final int value;
     private MessageCase(int value) {
@@ -95,6 +96,7 @@
         case 10: return POISON_EVIDENCE;
         case 11: return NAMED_LIMITS;
         case 12: return STREAM_VERSIONS;
+        case 13: return ROLLOUT_STATUS;
         case 0: return MESSAGE_NOT_SET;
         default: return null;
       }
@@ -482,6 +484,37 @@
     return io.masticfold.gateway.peer.proto.StreamVersions.getDefaultInstance();
   }
 
+  public static final int ROLLOUT_STATUS_FIELD_NUMBER = 13;
+  /**
+   * <code>.masticfold.gateway.RolloutStatus rollout_status = 13;</code>
+   * @return Whether the rolloutStatus field is set.
+   */
+  @java.lang.Override
+  public boolean hasRolloutStatus() {
+    return messageCase_ == 13;
+  }
+  /**
+   * <code>.masticfold.gateway.RolloutStatus rollout_status = 13;</code>
+   * @return The rolloutStatus.
+   */
+  @java.lang.Override
+  public io.masticfold.gateway.peer.proto.RolloutStatus getRolloutStatus() {
+    if (messageCase_ == 13) {
+       return (io.masticfold.gateway.peer.proto.RolloutStatus) message_;
+    }
+    return io.masticfold.gateway.peer.proto.RolloutStatus.getDefaultInstance();
+  }
+  /**
+   * <code>.masticfold.gateway.RolloutStatus rollout_status = 13;</code>
+   */
+  @java.lang.Override
+  public io.masticfold.gateway.peer.proto.RolloutStatusOrBuilder getRolloutStatusOrBuilder() {
+    if (messageCase_ == 13) {
+       return (io.masticfold.gateway.peer.proto.RolloutStatus) message_;
+    }
+    return io.masticfold.gateway.peer.proto.RolloutStatus.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -532,6 +565,9 @@
     if (messageCase_ == 12) {
       output.writeMessage(12, (io.masticfold.gateway.peer.proto.StreamVersions) message_);
     }
+    if (messageCase_ == 13) {
+      output.writeMessage(13, (io.masticfold.gateway.peer.proto.RolloutStatus) message_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -584,6 +620,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(12, (io.masticfold.gateway.peer.proto.StreamVersions) message_);
     }
+    if (messageCase_ == 13) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(13, (io.masticfold.gateway.peer.proto.RolloutStatus) message_);
+    }
     return size;
   }
   @java.lang.Override
@@ -658,6 +698,10 @@
         if (!getStreamVersions()
             .equals(other.getStreamVersions())) return false;
         break;
+      case 13:
+        if (!getRolloutStatus()
+            .equals(other.getRolloutStatus())) return false;
+        break;
       case 0:
       default:
     }
@@ -721,6 +765,10 @@
         hash = (37 * hash) + STREAM_VERSIONS_FIELD_NUMBER;
         hash = (53 * hash) + getStreamVersions().hashCode();
         break;
+      case 13:
+        hash = (37 * hash) + ROLLOUT_STATUS_FIELD_NUMBER;
+        hash = (53 * hash) + getRolloutStatus().hashCode();
+        break;
       case 0:
       default:
     }
@@ -891,6 +939,9 @@
       if (streamVersionsBuilder_ != null) {
         streamVersionsBuilder_.clear();
       }
+      if (rolloutStatusBuilder_ != null) {
+        rolloutStatusBuilder_.clear();
+      }
       messageCase_ = 0;
       message_ = null;
       return this;
@@ -980,6 +1031,10 @@
           streamVersionsBuilder_ != null) {
         result.message_ = streamVersionsBuilder_.build();
       }
+      if (messageCase_ == 13 &&
+          rolloutStatusBuilder_ != null) {
+        result.message_ = rolloutStatusBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1043,6 +1098,10 @@
           mergeStreamVersions(other.getStreamVersions());
           break;
         }
+        case ROLLOUT_STATUS: {
+          mergeRolloutStatus(other.getRolloutStatus());
+          break;
+        }
         case MESSAGE_NOT_SET: {
           break;
         }
@@ -1155,6 +1214,13 @@
               messageCase_ = 12;
               break;
             } // case 98
+            case 106: {
+              input.readMessage(
+                  internalGetRolloutStatusFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              messageCase_ = 13;
+              break;
+            } // case 106
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2867,6 +2933,146 @@
       return streamVersionsBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        io.masticfold.gateway.peer.proto.RolloutStatus, io.masticfold.gateway.peer.proto.RolloutStatus.Builder, io.masticfold.gateway.peer.proto.RolloutStatusOrBuilder> rolloutStatusBuilder_;
+    /**
+     * <code>.masticfold.gateway.RolloutStatus rollout_status = 13;</code>
+     * @return Whether the rolloutStatus field is set.
+     */
+    @java.lang.Override
+    public boolean hasRolloutStatus() {
+      return messageCase_ == 13;
+    }
+    /**
+     * <code>.masticfold.gateway.RolloutStatus rollout_status = 13;</code>
+     * @return The rolloutStatus.
+     */
+    @java.lang.Override
+    public io.masticfold.gateway.peer.proto.RolloutStatus getRolloutStatus() {
+      if (rolloutStatusBuilder_ == null) {
+        if (messageCase_ == 13) {
+          return (io.masticfold.gateway.peer.proto.RolloutStatus) message_;
+        }
+        return io.masticfold.gateway.peer.proto.RolloutStatus.getDefaultInstance();
+      } else {
+        if (messageCase_ == 13) {
+          return rolloutStatusBuilder_.getMessage();
+        }
+        return io.masticfold.gateway.peer.proto.RolloutStatus.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.masticfold.gateway.RolloutStatus rollout_status = 13;</code>
+     */
+    public Builder setRolloutStatus(io.masticfold.gateway.peer.proto.RolloutStatus value) {
+      if (rolloutStatusBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        message_ = value;
+        onChanged();
+      } else {
+        rolloutStatusBuilder_.setMessage(value);
+      }
+      messageCase_ = 13;
+      return this;
+    }
+    /**
+     * <code>.masticfold.gateway.RolloutStatus rollout_status = 13;</code>
+     */
+    public Builder setRolloutStatus(
+        io.masticfold.gateway.peer.proto.RolloutStatus.Builder builderForValue) {
+      if (rolloutStatusBuilder_ == null) {
+        message_ = builderForValue.build();
+        onChanged();
+      } else {
+        rolloutStatusBuilder_.setMessage(builderForValue.build());
+      }
+      messageCase_ = 13;
+      return this;
+    }
+    /**
+     * <code>.masticfold.gateway.RolloutStatus rollout_status = 13;</code>
+     */
+    public Builder mergeRolloutStatus(io.masticfold.gateway.peer.proto.RolloutStatus value) {
+      if (rolloutStatusBuilder_ == null) {
+        if (messageCase_ == 13 &&
+            message_ != io.masticfold.gateway.peer.proto.RolloutStatus.getDefaultInstance()) {
+          message_ = io.masticfold.gateway.peer.proto.RolloutStatus.newBuilder((io.masticfold.gateway.peer.proto.RolloutStatus) message_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          message_ = value;
+        }
+        onChanged();
+      } else {
+        if (messageCase_ == 13) {
+          rolloutStatusBuilder_.mergeFrom(value);
+        } else {
+          rolloutStatusBuilder_.setMessage(value);
+        }
+      }
+      messageCase_ = 13;
+      return this;
+    }
+    /**
+     * <code>.masticfold.gateway.RolloutStatus rollout_status = 13;</code>
+     */
+    public Builder clearRolloutStatus() {
+      if (rolloutStatusBuilder_ == null) {
+        if (messageCase_ == 13) {
+          messageCase_ = 0;
+          message_ = null;
+          onChanged();
+        }
+      } else {
+        if (messageCase_ == 13) {
+          messageCase_ = 0;
+          message_ = null;
+        }
+        rolloutStatusBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.masticfold.gateway.RolloutStatus rollout_status = 13;</code>
+     */
+    public io.masticfold.gateway.peer.proto.RolloutStatus.Builder getRolloutStatusBuilder() {
+      return internalGetRolloutStatusFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.masticfold.gateway.RolloutStatus rollout_status = 13;</code>
+     */
+    @java.lang.Override
+    public io.masticfold.gateway.peer.proto.RolloutStatusOrBuilder getRolloutStatusOrBuilder() {
+      if ((messageCase_ == 13) && (rolloutStatusBuilder_ != null)) {
+        return rolloutStatusBuilder_.getMessageOrBuilder();
+      } else {
+        if (messageCase_ == 13) {
+          return (io.masticfold.gateway.peer.proto.RolloutStatus) message_;
+        }
+        return io.masticfold.gateway.peer.proto.RolloutStatus.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.masticfold.gateway.RolloutStatus rollout_status = 13;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.masticfold.gateway.peer.proto.RolloutStatus, io.masticfold.gateway.peer.proto.RolloutStatus.Builder, io.masticfold.gateway.peer.proto.RolloutStatusOrBuilder> 
+        internalGetRolloutStatusFieldBuilder() {
+      if (rolloutStatusBuilder_ == null) {
+        if (!(messageCase_ == 13)) {
+          message_ = io.masticfold.gateway.peer.proto.RolloutStatus.getDefaultInstance();
+        }
+        rolloutStatusBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.masticfold.gateway.peer.proto.RolloutStatus, io.masticfold.gateway.peer.proto.RolloutStatus.Builder, io.masticfold.gateway.peer.proto.RolloutStatusOrBuilder>(
+                (io.masticfold.gateway.peer.proto.RolloutStatus) message_,
+                getParentForChildren(),
+                isClean());
+        message_ = null;
+      }
+      messageCase_ = 13;
+      onChanged();
+      return rolloutStatusBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:masticfold.gateway.PeerFrame)
   }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerFrameOrBuilder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerFrameOrBuilder.java
@@ -190,5 +190,20 @@
    */
   io.masticfold.gateway.peer.proto.StreamVersionsOrBuilder getStreamVersionsOrBuilder();
 
+  /**
+   * <code>.masticfold.gateway.RolloutStatus rollout_status = 13;</code>
+   * @return Whether the rolloutStatus field is set.
+   */
+  boolean hasRolloutStatus();
+  /**
+   * <code>.masticfold.gateway.RolloutStatus rollout_status = 13;</code>
+   * @return The rolloutStatus.
+   */
+  io.masticfold.gateway.peer.proto.RolloutStatus getRolloutStatus();
+  /**
+   * <code>.masticfold.gateway.RolloutStatus rollout_status = 13;</code>
+   */
+  io.masticfold.gateway.peer.proto.RolloutStatusOrBuilder getRolloutStatusOrBuilder();
+
   io.masticfold.gateway.peer.proto.PeerFrame.MessageCase getMessageCase();
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerStatus.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerStatus.java
@@ -35,6 +35,7 @@
     servers_ = java.util.Collections.emptyList();
     commitments_ = java.util.Collections.emptyList();
     reads_ = java.util.Collections.emptyList();
+    targets_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -208,6 +209,47 @@
     return reads_.get(index);
   }
 
+  public static final int TARGETS_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private java.util.List<io.masticfold.gateway.peer.proto.TargetObservation> targets_;
+  /**
+   * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.masticfold.gateway.peer.proto.TargetObservation> getTargetsList() {
+    return targets_;
+  }
+  /**
+   * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.masticfold.gateway.peer.proto.TargetObservationOrBuilder> 
+      getTargetsOrBuilderList() {
+    return targets_;
+  }
+  /**
+   * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+   */
+  @java.lang.Override
+  public int getTargetsCount() {
+    return targets_.size();
+  }
+  /**
+   * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+   */
+  @java.lang.Override
+  public io.masticfold.gateway.peer.proto.TargetObservation getTargets(int index) {
+    return targets_.get(index);
+  }
+  /**
+   * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+   */
+  @java.lang.Override
+  public io.masticfold.gateway.peer.proto.TargetObservationOrBuilder getTargetsOrBuilder(
+      int index) {
+    return targets_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -237,6 +279,9 @@
     for (int i = 0; i < reads_.size(); i++) {
       output.writeMessage(5, reads_.get(i));
     }
+    for (int i = 0; i < targets_.size(); i++) {
+      output.writeMessage(6, targets_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -276,6 +321,15 @@
           }
           size += 1 * count;
         }
+
+        {
+          final int count = targets_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(targets_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -310,6 +364,8 @@
         != other.getConfigurationVersion()) return false;
     if (!getReadsList()
         .equals(other.getReadsList())) return false;
+    if (!getTargetsList()
+        .equals(other.getTargetsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -339,6 +395,10 @@
       hash = (37 * hash) + READS_FIELD_NUMBER;
       hash = (53 * hash) + getReadsList().hashCode();
     }
+    if (getTargetsCount() > 0) {
+      hash = (37 * hash) + TARGETS_FIELD_NUMBER;
+      hash = (53 * hash) + getTargetsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -497,6 +557,13 @@
         readsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000010);
+      if (targetsBuilder_ == null) {
+        targets_ = java.util.Collections.emptyList();
+      } else {
+        targets_ = null;
+        targetsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000020);
       return this;
     }
 
@@ -557,6 +624,15 @@
       } else {
         result.reads_ = readsBuilder_.build();
       }
+      if (targetsBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0)) {
+          targets_ = java.util.Collections.unmodifiableList(targets_);
+          bitField0_ = (bitField0_ & ~0x00000020);
+        }
+        result.targets_ = targets_;
+      } else {
+        result.targets_ = targetsBuilder_.build();
+      }
     }
 
     private void buildPartial0(io.masticfold.gateway.peer.proto.PeerStatus result) {
@@ -665,6 +741,32 @@
           }
         }
       }
+      if (targetsBuilder_ == null) {
+        if (!other.targets_.isEmpty()) {
+          if (targets_.isEmpty()) {
+            targets_ = other.targets_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+          } else {
+            ensureTargetsIsMutable();
+            targets_.addAll(other.targets_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.targets_.isEmpty()) {
+          if (targetsBuilder_.isEmpty()) {
+            targetsBuilder_.dispose();
+            targetsBuilder_ = null;
+            targets_ = other.targets_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+            targetsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetTargetsFieldBuilder() : null;
+          } else {
+            targetsBuilder_.addAllMessages(other.targets_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -738,6 +840,19 @@
               }
               break;
             } // case 42
+            case 50: {
+              io.masticfold.gateway.peer.proto.TargetObservation m =
+                  input.readMessage(
+                      io.masticfold.gateway.peer.proto.TargetObservation.parser(),
+                      extensionRegistry);
+              if (targetsBuilder_ == null) {
+                ensureTargetsIsMutable();
+                targets_.add(m);
+              } else {
+                targetsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1545,6 +1660,240 @@
       return readsBuilder_;
     }
 
+    private java.util.List<io.masticfold.gateway.peer.proto.TargetObservation> targets_ =
+      java.util.Collections.emptyList();
+    private void ensureTargetsIsMutable() {
+      if (!((bitField0_ & 0x00000020) != 0)) {
+        targets_ = new java.util.ArrayList<io.masticfold.gateway.peer.proto.TargetObservation>(targets_);
+        bitField0_ |= 0x00000020;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.masticfold.gateway.peer.proto.TargetObservation, io.masticfold.gateway.peer.proto.TargetObservation.Builder, io.masticfold.gateway.peer.proto.TargetObservationOrBuilder> targetsBuilder_;
+
+    /**
+     * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+     */
+    public java.util.List<io.masticfold.gateway.peer.proto.TargetObservation> getTargetsList() {
+      if (targetsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(targets_);
+      } else {
+        return targetsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+     */
+    public int getTargetsCount() {
+      if (targetsBuilder_ == null) {
+        return targets_.size();
+      } else {
+        return targetsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+     */
+    public io.masticfold.gateway.peer.proto.TargetObservation getTargets(int index) {
+      if (targetsBuilder_ == null) {
+        return targets_.get(index);
+      } else {
+        return targetsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+     */
+    public Builder setTargets(
+        int index, io.masticfold.gateway.peer.proto.TargetObservation value) {
+      if (targetsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureTargetsIsMutable();
+        targets_.set(index, value);
+        onChanged();
+      } else {
+        targetsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+     */
+    public Builder setTargets(
+        int index, io.masticfold.gateway.peer.proto.TargetObservation.Builder builderForValue) {
+      if (targetsBuilder_ == null) {
+        ensureTargetsIsMutable();
+        targets_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        targetsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+     */
+    public Builder addTargets(io.masticfold.gateway.peer.proto.TargetObservation value) {
+      if (targetsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureTargetsIsMutable();
+        targets_.add(value);
+        onChanged();
+      } else {
+        targetsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+     */
+    public Builder addTargets(
+        int index, io.masticfold.gateway.peer.proto.TargetObservation value) {
+      if (targetsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureTargetsIsMutable();
+        targets_.add(index, value);
+        onChanged();
+      } else {
+        targetsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+     */
+    public Builder addTargets(
+        io.masticfold.gateway.peer.proto.TargetObservation.Builder builderForValue) {
+      if (targetsBuilder_ == null) {
+        ensureTargetsIsMutable();
+        targets_.add(builderForValue.build());
+        onChanged();
+      } else {
+        targetsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+     */
+    public Builder addTargets(
+        int index, io.masticfold.gateway.peer.proto.TargetObservation.Builder builderForValue) {
+      if (targetsBuilder_ == null) {
+        ensureTargetsIsMutable();
+        targets_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        targetsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+     */
+    public Builder addAllTargets(
+        java.lang.Iterable<? extends io.masticfold.gateway.peer.proto.TargetObservation> values) {
+      if (targetsBuilder_ == null) {
+        ensureTargetsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, targets_);
+        onChanged();
+      } else {
+        targetsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+     */
+    public Builder clearTargets() {
+      if (targetsBuilder_ == null) {
+        targets_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+      } else {
+        targetsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+     */
+    public Builder removeTargets(int index) {
+      if (targetsBuilder_ == null) {
+        ensureTargetsIsMutable();
+        targets_.remove(index);
+        onChanged();
+      } else {
+        targetsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+     */
+    public io.masticfold.gateway.peer.proto.TargetObservation.Builder getTargetsBuilder(
+        int index) {
+      return internalGetTargetsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+     */
+    public io.masticfold.gateway.peer.proto.TargetObservationOrBuilder getTargetsOrBuilder(
+        int index) {
+      if (targetsBuilder_ == null) {
+        return targets_.get(index);  } else {
+        return targetsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+     */
+    public java.util.List<? extends io.masticfold.gateway.peer.proto.TargetObservationOrBuilder> 
+         getTargetsOrBuilderList() {
+      if (targetsBuilder_ != null) {
+        return targetsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(targets_);
+      }
+    }
+    /**
+     * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+     */
+    public io.masticfold.gateway.peer.proto.TargetObservation.Builder addTargetsBuilder() {
+      return internalGetTargetsFieldBuilder().addBuilder(
+          io.masticfold.gateway.peer.proto.TargetObservation.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+     */
+    public io.masticfold.gateway.peer.proto.TargetObservation.Builder addTargetsBuilder(
+        int index) {
+      return internalGetTargetsFieldBuilder().addBuilder(
+          index, io.masticfold.gateway.peer.proto.TargetObservation.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+     */
+    public java.util.List<io.masticfold.gateway.peer.proto.TargetObservation.Builder> 
+         getTargetsBuilderList() {
+      return internalGetTargetsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.masticfold.gateway.peer.proto.TargetObservation, io.masticfold.gateway.peer.proto.TargetObservation.Builder, io.masticfold.gateway.peer.proto.TargetObservationOrBuilder> 
+        internalGetTargetsFieldBuilder() {
+      if (targetsBuilder_ == null) {
+        targetsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.masticfold.gateway.peer.proto.TargetObservation, io.masticfold.gateway.peer.proto.TargetObservation.Builder, io.masticfold.gateway.peer.proto.TargetObservationOrBuilder>(
+                targets_,
+                ((bitField0_ & 0x00000020) != 0),
+                getParentForChildren(),
+                isClean());
+        targets_ = null;
+      }
+      return targetsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:masticfold.gateway.PeerStatus)
   }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerStatusOrBuilder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/PeerStatusOrBuilder.java
@@ -101,4 +101,28 @@
    */
   io.masticfold.gateway.peer.proto.KindReadOrBuilder getReadsOrBuilder(
       int index);
+
+  /**
+   * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+   */
+  java.util.List<io.masticfold.gateway.peer.proto.TargetObservation> 
+      getTargetsList();
+  /**
+   * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+   */
+  io.masticfold.gateway.peer.proto.TargetObservation getTargets(int index);
+  /**
+   * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+   */
+  int getTargetsCount();
+  /**
+   * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+   */
+  java.util.List<? extends io.masticfold.gateway.peer.proto.TargetObservationOrBuilder> 
+      getTargetsOrBuilderList();
+  /**
+   * <code>repeated .masticfold.gateway.TargetObservation targets = 6;</code>
+   */
+  io.masticfold.gateway.peer.proto.TargetObservationOrBuilder getTargetsOrBuilder(
+      int index);
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -167,12 +167,7 @@
         history.recordSend();
         recorder.recordSent(target.target(), history.sends(), remaining());
         TargetResponseReceiver next = new TargetResponseReceiver(
-                context,
-                this,
-                target,
-                routed.metadata().attemptId(),
-                routed.prompt().totalTokens(),
-                progress);
+                context, this, target, routed.metadata().attemptId(), target.tokensToRead(), progress);
         send = next;
         boolean repeatable = routed.route().kind().repeatable();
         Exchange exchange = context.client()
@@ -249,6 +244,21 @@
         }
     }
 
+    /** Called when a target has reported its pace. */
+    void paceReported() {
+        services.targets().loads().recordPace(routed.pool());
+    }
+
+    /**
+     * Called when a target has answered, or has sent the first event of a stream.
+     *
+     * @param tokens prompt tokens that the target had to read first
+     * @param inFlight requests that were at the target when the request was sent
+     */
+    void firstAnswer(TargetTracker target, long tokens, int inFlight, Duration took) {
+        services.targets().pool(routed.pool()).recordAnswerTime(target, tokens, inFlight, took);
+    }
+
     void targetFailed(TargetTracker target, boolean nowSuspect) {
         if (nowSuspect) {
             context.log()
@@ -347,6 +357,10 @@
         if (ended) {
             return;
         }
+        TargetResponseReceiver active = send;
+        if (active != null) {
+            active.expired();
+        }
         cancelSend();
         if (progress != null && progress.started()) {
             abort(ErrorKind.STAGE_TIMEOUT, "deadline of the request has passed");
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
@@ -34,6 +34,8 @@
     private boolean firstOnConnection;
     private boolean forwarding;
     private boolean firstTokenRecorded;
+    private int inFlightBefore;
+    private long sentNanos;
     private boolean ended;
 
     /**
@@ -63,7 +65,9 @@
 
     void started(Exchange started) {
         exchange = started;
-        target.sent(tokens, context.scheduler().nanoTime());
+        inFlightBefore = target.load().shared().inFlight();
+        sentNanos = context.scheduler().nanoTime();
+        target.sent(tokens, sentNanos);
     }
 
     TargetTracker target() {
@@ -101,9 +105,12 @@
     public void head(HttpResponse head, boolean first) {
         response = head;
         firstOnConnection = first;
-        context.protocol()
-                .decodeLoad(head.headers())
-                .ifPresent(load -> target.reported(load, context.scheduler().nanoTime()));
+        context.protocol().decodeLoad(head.headers()).ifPresent(load -> {
+            target.reported(load, context.scheduler().nanoTime());
+            if (load.pace().isPresent()) {
+                run.paceReported();
+            }
+        });
         // A misdirected request was answered by another target at the same address.
         if (ownResponse(head.headers()) && head.status().code() != HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
             run.responseBegun(target, head);
@@ -147,6 +154,9 @@
     }
 
     private void eventRead(int number) {
+        if (!firstTokenRecorded) {
+            run.firstAnswer(target, tokens, inFlightBefore, sinceSent());
+        }
         recordFirstToken();
         run.eventForwarded(target, number);
     }
@@ -248,7 +258,12 @@
         markEnded();
         long now = context.scheduler().nanoTime();
         switch (outcome) {
-            case ANSWERED -> target.succeeded();
+            case ANSWERED -> {
+                if (progress == null) {
+                    run.firstAnswer(target, tokens, inFlightBefore, sinceSent());
+                }
+                target.succeeded(now);
+            }
             case NOT_SENT, UNKNOWN -> run.targetFailed(target, target.failed(outcome == SendOutcome.NOT_SENT, now));
             case FAILED -> run.targetFailed(target, target.failed(false, now));
             case NOT_RUN, INPUT_GONE -> {
@@ -258,6 +273,17 @@
         }
     }
 
+    /** Records that the target has not begun to answer by the request's deadline. */
+    void expired() {
+        if (!ended && response == null) {
+            target.load().failed(context.scheduler().nanoTime());
+        }
+    }
+
+    private Duration sinceSent() {
+        return Duration.ofNanos(context.scheduler().nanoTime() - sentNanos);
+    }
+
     private void markEnded() {
         ended = true;
         recordFirstToken();
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetSelection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetSelection.java
@@ -78,7 +78,7 @@
         if (begins) {
             Optional<TargetTracker> recorded = pool.choose(
                     spec,
-                    routed.prompt(),
+                    routed,
                     resultBytes,
                     target -> history.failedTargets().contains(target.id())
                             || !services.versions().mayBeginStreams(target),
@@ -89,7 +89,7 @@
         }
         return pool.choose(
                 spec,
-                routed.prompt(),
+                routed,
                 resultBytes,
                 target -> history.failedTargets().contains(target.id()) || !version.allows(target),
                 gateways);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetTracker.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetTracker.java
@@ -1,11 +1,14 @@
 package io.masticfold.gateway.request;
 
 import io.masticfold.core.directory.TargetRecord;
+import io.masticfold.core.placement.TargetCandidate;
 import io.masticfold.core.placement.TargetLoadView;
+import io.masticfold.gateway.load.TargetLoad;
 import io.masticfold.gateway.protocol.TargetLoadReport;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.OptionalDouble;
 
 /** Tracks the load and the failures of one target as this gateway observes them. Used by one thread. */
 final class TargetTracker {
@@ -22,10 +25,10 @@
     private static final long SECOND_NANOS = Duration.ofSeconds(1).toNanos();
 
     private TargetRecord target;
+    private final TargetLoad load;
     private final Deque<Long> sends = new ArrayDeque<>();
-    private int inFlight;
-    private long queuedTokens;
-    private TargetLoadReport report = new TargetLoadReport(0, 0, 0);
+    private int tokensToRead;
+    private TargetLoadReport report = new TargetLoadReport(0, 0, 0, OptionalDouble.empty());
     private long reportNanos;
     private boolean reported;
     private int failures;
@@ -33,8 +36,9 @@
     private boolean suspect;
     private long coldUntilNanos;
 
-    TargetTracker(TargetRecord target, long nowNanos) {
+    TargetTracker(TargetRecord target, TargetLoad load, long nowNanos) {
         this.target = target;
+        this.load = load;
         this.coldUntilNanos = nowNanos;
         update(target, nowNanos);
     }
@@ -68,42 +72,70 @@
         boolean fresh = reported && nowNanos - reportNanos < MAX_REPORT_AGE.toNanos();
         return new TargetLoadView(
                 target,
-                inFlight,
-                queuedTokens,
+                load.shared().ownInFlight(),
+                load.shared().ownQueuedTokens(),
                 fresh ? report.running() : 0,
                 fresh ? report.waiting() : 0,
                 sameZone,
                 suspect(nowNanos));
     }
 
+    /** Returns the target as a candidate for placement by expected time. */
+    TargetCandidate candidate(boolean sameZone, long nowNanos) {
+        return new TargetCandidate(
+                target,
+                load.shared().inFlight(),
+                load.shared().queuedTokens(),
+                load.shared().slowdown(nowNanos),
+                load.shared().failureRate(nowNanos),
+                suspect(nowNanos),
+                sameZone);
+    }
+
+    /** Returns the load that this gateway and its peers observe. */
+    TargetLoad load() {
+        return load;
+    }
+
+    /** Sets the prompt tokens that the target has to read for the request that is sent next. */
+    void planTokens(int tokens) {
+        tokensToRead = tokens;
+    }
+
+    /** Returns the prompt tokens that the target has to read for the request that is sent next. */
+    int tokensToRead() {
+        return tokensToRead;
+    }
+
     boolean suspect(long nowNanos) {
         return suspect && suspectUntilNanos - nowNanos > 0;
     }
 
     void sent(long tokens, long nowNanos) {
         sends.addLast(nowNanos);
-        inFlight++;
-        queuedTokens += tokens;
+        load.sent(tokens);
     }
 
     /** Records that a request has produced its first token or has ended without one. */
     void firstToken(long tokens) {
-        queuedTokens -= tokens;
+        load.firstToken(tokens);
     }
 
     void ended() {
-        inFlight--;
+        load.ended();
     }
 
     void reported(TargetLoadReport newer, long nowNanos) {
         report = newer;
         reportNanos = nowNanos;
         reported = true;
+        newer.pace().ifPresent(pace -> load.paceReported(pace, nowNanos));
     }
 
-    void succeeded() {
+    void succeeded(long nowNanos) {
         failures = 0;
         suspect = false;
+        load.answered(nowNanos);
     }
 
     /**
@@ -114,6 +146,7 @@
      */
     boolean failed(boolean certain, long nowNanos) {
         failures++;
+        load.failed(nowNanos);
         if (certain || failures >= FAILURES_UNTIL_SUSPECT) {
             boolean wasSuspect = suspect(nowNanos);
             suspect = true;
