Serve orders that move a pool to another software version; hedge late answers of safe routes

Cause: no source file knew rollouts, so that a version appearing beside another got its full share at once; a request that waits for one slow target waited to its deadline.

--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/hedge/RecentAnswerTimes.java
@@ -0,0 +1,63 @@
+package io.masticfold.core.hedge;
+
+import io.masticfold.core.time.TimeSource;
+import java.time.Duration;
+import java.util.Optional;
+import org.HdrHistogram.IntCountsHistogram;
+
+/**
+ * Distribution of the times until an answer over the current and the previous window, so that it follows a change
+ * within two windows. Used by one thread.
+ */
+final class RecentAnswerTimes {
+
+    private static final long MAX_MILLIS = Duration.ofMinutes(1).toMillis();
+    private static final int SIGNIFICANT_DIGITS = 2;
+    private static final double PERCENT = 100;
+
+    private final TimeSource time;
+    private final long windowNanos;
+    private IntCountsHistogram current = histogram();
+    private IntCountsHistogram previous = histogram();
+    private long windowStartNanos;
+
+    RecentAnswerTimes(TimeSource time, Duration window) {
+        this.time = time;
+        this.windowNanos = window.toNanos();
+        this.windowStartNanos = time.nanoTime();
+    }
+
+    void record(Duration answerTime) {
+        rotate();
+        current.recordValue(Math.max(0, Math.min(MAX_MILLIS, answerTime.toMillis())));
+    }
+
+    /** Returns a quantile, 0 to 1; empty if there are too few answers for one of them to lie beyond it. */
+    Optional<Duration> quantile(double quantile) {
+        rotate();
+        IntCountsHistogram both = current.copy();
+        both.add(previous);
+        return both.getTotalCount() * (1 - quantile) < 1
+                ? Optional.empty()
+                : Optional.of(Duration.ofMillis(both.getValueAtPercentile(quantile * PERCENT)));
+    }
+
+    private void rotate() {
+        long elapsed = time.nanoTime() - windowStartNanos;
+        if (elapsed < windowNanos) {
+            return;
+        }
+        IntCountsHistogram emptied = previous;
+        emptied.reset();
+        previous = current;
+        current = emptied;
+        if (elapsed >= 2 * windowNanos) {
+            previous.reset();
+        }
+        windowStartNanos += elapsed / windowNanos * windowNanos;
+    }
+
+    private static IntCountsHistogram histogram() {
+        return new IntCountsHistogram(MAX_MILLIS, SIGNIFICANT_DIGITS);
+    }
+}
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/rollout/RolloutPolicy.java
@@ -0,0 +1,92 @@
+package io.masticfold.core.rollout;
+
+import java.time.Duration;
+import java.util.Map;
+
+/**
+ * Decides how an order goes on. The load it answers: a new version that fails or is slow in a part of its responses, at
+ * once or later, on one route only or under load, beside an old version that has troubles of its own.
+ *
+ * <p>The new version gets a small share of the requests for the first part of the time. Its bad responses are compared
+ * with those of the old version on the same route and over the same time by a one-sided exact binomial test. A sound
+ * version then gets all requests, so that nothing runs at the old targets when the order is completed.
+ */
+public final class RolloutPolicy {
+
+    /**
+     * Probability with which one test takes a sound version for bad. It is made several times a second on each route;
+     * at one in 100,000, a hundred tests of ten routes reject one sound version in a hundred.
+     */
+    static final double FALSE_ALARM_PROBABILITY = 1e-5;
+
+    /** Bad responses of the old version that are assumed in addition, so that few of its requests prove nothing. */
+    private static final double ASSUMED_OLD_BAD = 1;
+
+    private static final double ASSUMED_OLD_ENDED = 20;
+
+    /** Fewest bad responses for a verdict; two may have the same cause. */
+    private static final int MIN_BAD = 4;
+
+    /** Ended requests of the new version without which it is not known to be sound. */
+    static final int MIN_ENDED = 10;
+
+    /** Part of the duration after which a sound version gets all requests; the rest is for what still runs. */
+    static final double MOVE_FRACTION = 0.6;
+
+    /** Part of the duration at which the order ends, with time left to store it and for its news to arrive. */
+    static final double END_FRACTION = 0.85;
+
+    private RolloutPolicy() {}
+
+    /**
+     * Decides.
+     *
+     * @param elapsed time since the order was first seen
+     * @param duration time within which the order has to end
+     * @param fresh counts of the new version by route
+     * @param old counts of the other versions by route
+     * @param moved whether nothing runs at other versions any more, at all gateways
+     */
+    public static RolloutStep decide(
+            Duration elapsed,
+            Duration duration,
+            Map<String, VersionCounts> fresh,
+            Map<String, VersionCounts> old,
+            boolean moved) {
+        if (isBad(fresh, old)) {
+            return RolloutStep.ROLL_BACK;
+        }
+        double fraction = duration.isZero() ? 1 : (double) elapsed.toNanos() / duration.toNanos();
+        long ended = fresh.values().stream().mapToLong(VersionCounts::ended).sum();
+        if (ended < MIN_ENDED) {
+            return fraction < END_FRACTION ? RolloutStep.EXPOSE : RolloutStep.ROLL_BACK;
+        }
+        if (fraction < MOVE_FRACTION) {
+            return RolloutStep.EXPOSE;
+        }
+        return moved || fraction >= END_FRACTION ? RolloutStep.COMPLETE : RolloutStep.MOVE;
+    }
+
+    /** Returns whether the new version gives more bad responses than the old one, on one route or on all together. */
+    static boolean isBad(Map<String, VersionCounts> fresh, Map<String, VersionCounts> old) {
+        VersionCounts allFresh = VersionCounts.NONE;
+        VersionCounts allOld = VersionCounts.NONE;
+        for (Map.Entry<String, VersionCounts> route : fresh.entrySet()) {
+            VersionCounts before = old.getOrDefault(route.getKey(), VersionCounts.NONE);
+            if (isWorse(route.getValue(), before)) {
+                return true;
+            }
+            allFresh = allFresh.plus(route.getValue());
+            allOld = allOld.plus(before);
+        }
+        return isWorse(allFresh, allOld);
+    }
+
+    private static boolean isWorse(VersionCounts fresh, VersionCounts old) {
+        if (fresh.bad() < MIN_BAD) {
+            return false;
+        }
+        double oldRate = (old.bad() + ASSUMED_OLD_BAD) / (old.ended() + ASSUMED_OLD_ENDED);
+        return BinomialTest.upperTail(fresh.bad(), fresh.ended(), oldRate) < FALSE_ALARM_PROBABILITY;
+    }
+}
--- /dev/null
+++ b/masticfold-core/src/main/java/io/masticfold/core/rollout/RolloutStep.java
@@ -0,0 +1,13 @@
+package io.masticfold.core.rollout;
+
+/** What an order asks of the gateways now. */
+public enum RolloutStep {
+    /** The new version gets a limited share. */
+    EXPOSE,
+    /** All new requests go to the new version; what runs at the others ends. */
+    MOVE,
+    /** The order is completed. */
+    COMPLETE,
+    /** The new version gets nothing more. */
+    ROLL_BACK
+}
--- /dev/null
+++ b/masticfold-core/src/test/java/io/masticfold/core/rollout/RolloutPolicyTests.java
@@ -0,0 +1,119 @@
+package io.masticfold.core.rollout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against bad versions that are completed, and sound ones that are rolled back. */
+final class RolloutPolicyTests {
+
+    private static final Duration DURATION = Duration.ofSeconds(10);
+
+    private static Map<String, VersionCounts> route(String name, long answered, long failed, long slow) {
+        return Map.of(name, new VersionCounts(answered + failed + slow, answered, failed, slow));
+    }
+
+    private static RolloutStep decide(
+            double fraction, Map<String, VersionCounts> fresh, Map<String, VersionCounts> old, boolean moved) {
+        Duration elapsed = Duration.ofNanos((long) (fraction * DURATION.toNanos()));
+        return RolloutPolicy.decide(elapsed, DURATION, fresh, old, moved);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "0.1, 80, false, EXPOSE",
+        "0.5, 80, false, EXPOSE",
+        "0.6, 80, false, MOVE",
+        "0.7, 80, true, COMPLETE",
+        "0.85, 80, false, COMPLETE",
+        "0.7, 9, false, EXPOSE",
+        "0.85, 9, false, ROLL_BACK",
+        "0.85, 0, false, ROLL_BACK",
+    })
+    void soundVersionMovesAndCompletes(double fraction, long answered, boolean moved, RolloutStep expected) {
+        assertThat(decide(fraction, route("r", answered, 0, 0), route("r", 800, 2, 10), moved))
+                .isEqualTo(expected);
+    }
+
+    /** Load: a part of the responses fails or is slow, while the old version has few such responses. */
+    @ParameterizedTest
+    @CsvSource({"20, 8, 0", "20, 0, 8", "20, 4, 4", "0, 12, 0"})
+    void badVersionIsRolledBack(long answered, long failed, long slow) {
+        assertThat(decide(0.2, route("r", answered, failed, slow), route("r", 800, 2, 10), false))
+                .isEqualTo(RolloutStep.ROLL_BACK);
+    }
+
+    @Test
+    void troubleOfBothVersionsIsNotThatOfTheNewOne() {
+        assertThat(decide(0.2, route("r", 60, 30, 10), route("r", 600, 300, 100), false))
+                .isEqualTo(RolloutStep.EXPOSE);
+    }
+
+    @Test
+    void handfulOfBadResponsesDecidesNothing() {
+        assertThat(decide(0.2, route("r", 0, 3, 0), route("r", 800, 2, 10), false))
+                .isEqualTo(RolloutStep.EXPOSE);
+    }
+
+    @Test
+    void versionThatIsBadOnOneRouteOnlyIsRolledBack() {
+        Map<String, VersionCounts> fresh = new HashMap<>(route("frequent", 500, 1, 0));
+        fresh.putAll(route("rare", 0, 7, 0));
+        Map<String, VersionCounts> old = new HashMap<>(route("frequent", 5_000, 10, 0));
+        old.putAll(route("rare", 60, 0, 0));
+
+        assertThat(decide(0.3, fresh, old, false)).isEqualTo(RolloutStep.ROLL_BACK);
+    }
+
+    @Test
+    void versionThatTurnsBadWhileAllRequestsMoveIsRolledBack() {
+        assertThat(decide(0.7, route("r", 90, 20, 0), route("r", 800, 2, 10), false))
+                .isEqualTo(RolloutStep.ROLL_BACK);
+    }
+
+    @Test
+    void orderWithoutTimeEndsAtOnce() {
+        assertThat(RolloutPolicy.decide(Duration.ZERO, Duration.ZERO, Map.of(), Map.of(), false))
+                .isEqualTo(RolloutStep.ROLL_BACK);
+    }
+
+    /** Load: 200 orders of a sound version whose responses are as bad as those of the old one, examined 50 times each. */
+    @Test
+    void soundVersionsAreRarelyRolledBack() {
+        Random random = new Random(11);
+        int rolledBack = 0;
+        for (int order = 0; order < 200; order++) {
+            Map<String, VersionCounts> fresh = new HashMap<>();
+            Map<String, VersionCounts> old = new HashMap<>();
+            RolloutStep step = RolloutStep.EXPOSE;
+            for (int look = 0; look < 50 && step == RolloutStep.EXPOSE; look++) {
+                draw(random, fresh, 4);
+                draw(random, old, 40);
+                step = decide(0.1, fresh, old, false);
+            }
+            rolledBack += step == RolloutStep.ROLL_BACK ? 1 : 0;
+        }
+
+        assertThat(rolledBack).isLessThanOrEqualTo(2);
+    }
+
+    private static void draw(Random random, Map<String, VersionCounts> counts, int requests) {
+        for (int request = 0; request < requests; request++) {
+            boolean bad = random.nextDouble() < 0.03;
+            counts.merge("r", new VersionCounts(1, bad ? 0 : 1, bad ? 1 : 0, 0), VersionCounts::plus);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 10, 0.1, 1.0", "1, 10, 0.1, 0.6513", "5, 10, 0.5, 0.6230", "10, 10, 0.5, 0.000977"})
+    void upperTailOfTheBinomialDistribution(long successes, long trials, double probability, double expected) {
+        assertThat(BinomialTest.upperTail(successes, trials, probability)).isCloseTo(expected, within(1e-4));
+    }
+}
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -3,6 +3,7 @@
 import io.masticfold.core.forward.RequestLimits;
 import io.masticfold.core.retry.RetryBudget;
 import io.masticfold.core.retry.SlidingWindowRetryBudget;
+import io.masticfold.core.rollout.RolloutOrder;
 import io.masticfold.core.shutdown.GracefulShutdown;
 import io.masticfold.core.time.PauseGuard;
 import io.masticfold.core.time.Scheduler;
@@ -26,6 +27,8 @@
 import io.masticfold.gateway.request.TargetPools;
 import io.masticfold.gateway.resume.StreamRecordStore;
 import io.masticfold.gateway.resume.StreamVersionRegistry;
+import io.masticfold.gateway.rollout.RolloutStore;
+import io.masticfold.gateway.rollout.Rollouts;
 import io.masticfold.gateway.settings.GatewaySettings;
 import io.masticfold.gateway.stage.StageAdmissionQueue;
 import io.masticfold.gateway.stage.StageDispatcher;
@@ -41,6 +44,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -66,6 +70,7 @@
     private final StreamVersionRegistry versions;
     private final TargetRateLimits limits;
     private final TargetLoads loads;
+    private final Rollouts rollouts;
     private final QuarantineStore quarantineStore;
     private final StageDispatcher stageDispatcher;
     private final StageAdmissionQueue admissionQueue;
@@ -94,7 +99,14 @@
         GatewayAddress address = new GatewayAddress(settings.node(), settings.zone(), settings.peer());
         this.registration = new GatewayRegistration(store, protocol.store(), scheduler, address);
         this.platformWatcher = new PlatformWatcher(
-                store, protocol.store(), scheduler, view, log, settings.node(), registration::register);
+                store,
+                protocol.store(),
+                scheduler,
+                view,
+                log,
+                settings.node(),
+                registration::register,
+                settings.rollout().map(_limits -> this::handleOrders));
         PauseGuard pauseGuard = new PauseGuard(scheduler, PauseRecovery.MAX_DELAY);
         this.pauseRecovery = new PauseRecovery(
                 pauseGuard, platformWatcher, scheduler, new EventLoopMonitor(scheduler, telemetry), log);
@@ -118,6 +130,15 @@
                 new StreamRecordStore(store, protocol.store(), scheduler, log, settings.node()));
         this.limits = new TargetRateLimits(scheduler, view, log, telemetry, settings.node());
         this.loads = new TargetLoads(scheduler, view, telemetry);
+        this.rollouts = new Rollouts(
+                scheduler,
+                view,
+                log,
+                telemetry,
+                settings.node(),
+                () -> this.settings.get().rollout(),
+                new RolloutStore(store, protocol.store()),
+                loads);
         this.quarantineStore = new QuarantineStore(store, protocol.store(), scheduler, log);
         this.stageDispatcher = new StageDispatcher(context, _name -> retryBudget());
         this.admissionQueue = new StageAdmissionQueue(context);
@@ -128,7 +149,14 @@
                 view::gateways,
                 settings.seeds(),
                 new PeerDispatcher(
-                        stageDispatcher, peerStateExchange, platformWatcher, quarantine, versions, limits, loads));
+                        stageDispatcher,
+                        peerStateExchange,
+                        platformWatcher,
+                        quarantine,
+                        versions,
+                        limits,
+                        loads,
+                        rollouts));
         GracefulShutdown shutdown = new GracefulShutdown(scheduler);
         this.forwardHandler = new ForwardHandler(
                 context,
@@ -138,6 +166,7 @@
                 quarantine,
                 versions,
                 limits,
+                rollouts,
                 shutdown);
         this.front = new HttpServer(group, time, view::requestLimits, forwardHandler, reason -> {
             telemetry.count("bad_request_" + reason.code());
@@ -166,7 +195,17 @@
     }
 
     private HttpServer metricsServer(TimeSource time, GatewayMetrics meters) {
-        new GatewayGauges(view, peers, quarantine, limits, loads, platformWatcher, admissionQueue, front, client)
+        new GatewayGauges(
+                        view,
+                        peers,
+                        quarantine,
+                        limits,
+                        loads,
+                        rollouts,
+                        platformWatcher,
+                        admissionQueue,
+                        front,
+                        client)
                 .register(meters);
         return new HttpServer(
                 group,
@@ -176,6 +215,10 @@
                 _reason -> meters.count("bad_metrics_request"));
     }
 
+    private void handleOrders(List<RolloutOrder> orders) {
+        rollouts.handleOrders(orders);
+    }
+
     private RetryBudget retryBudget() {
         return new SlidingWindowRetryBudget(
                 scheduler,
@@ -210,6 +253,7 @@
             quarantine.start(peers, quarantineStore);
             versions.start(peers);
             limits.start(peers);
+            rollouts.start(peers);
             registration.register();
             closeExpiredConnections();
             log.important(GatewayEvent.STARTED)
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayGauges.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayGauges.java
@@ -8,6 +8,7 @@
 import io.masticfold.gateway.log.GatewayMetrics;
 import io.masticfold.gateway.peer.PeerLinks;
 import io.masticfold.gateway.quarantine.PoisonQuarantine;
+import io.masticfold.gateway.rollout.Rollouts;
 import io.masticfold.gateway.stage.StageAdmissionQueue;
 import io.masticfold.gateway.store.PlatformView;
 import io.masticfold.gateway.store.PlatformWatcher;
@@ -19,6 +20,7 @@
         PoisonQuarantine quarantine,
         TargetRateLimits limits,
         TargetLoads loads,
+        Rollouts rollouts,
         PlatformWatcher platformWatcher,
         StageAdmissionQueue admissionQueue,
         HttpServer front,
@@ -35,6 +37,7 @@
         meters.gauge("masticfold.servers.held.back", client::heldBackServers);
         meters.gauge("masticfold.targets.limited", limits::limitedTargets);
         meters.gauge("masticfold.pools.paced", loads::pacedPools);
+        meters.gauge("masticfold.rollouts.running", rollouts::running);
         meters.gauge("masticfold.store.reachable", () -> platformWatcher.storeReachable() ? 1 : 0);
         meters.gauge("masticfold.configuration.version", view::configVersion);
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/PeerDispatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/PeerDispatcher.java
@@ -7,6 +7,7 @@
 import io.masticfold.gateway.peer.proto.PeerFrame;
 import io.masticfold.gateway.quarantine.PoisonQuarantine;
 import io.masticfold.gateway.resume.StreamVersionRegistry;
+import io.masticfold.gateway.rollout.Rollouts;
 import io.masticfold.gateway.stage.StageDispatcher;
 import io.masticfold.gateway.store.PeerStateExchange;
 import io.masticfold.gateway.store.PlatformWatcher;
@@ -21,6 +22,7 @@
     private final StreamVersionRegistry versions;
     private final TargetRateLimits limits;
     private final TargetLoads loads;
+    private final Rollouts rollouts;
 
     PeerDispatcher(
             StageDispatcher stageDispatcher,
@@ -29,7 +31,8 @@
             PoisonQuarantine quarantine,
             StreamVersionRegistry versions,
             TargetRateLimits limits,
-            TargetLoads loads) {
+            TargetLoads loads,
+            Rollouts rollouts) {
         this.stageDispatcher = stageDispatcher;
         this.peerStateExchange = peerStateExchange;
         this.platformWatcher = platformWatcher;
@@ -37,6 +40,7 @@
         this.versions = versions;
         this.limits = limits;
         this.loads = loads;
+        this.rollouts = rollouts;
     }
 
     @Override
@@ -47,6 +51,8 @@
             versions.handle(peer, frame.getStreamVersions());
         } else if (frame.hasNamedLimits()) {
             limits.handle(peer, frame.getNamedLimits());
+        } else if (frame.hasRolloutStatus()) {
+            rollouts.handle(peer, frame.getRolloutStatus());
         } else if (frame.hasKnowledge()) {
             peerStateExchange.handleResponse(peer, frame.getKnowledge());
         } else {
@@ -64,6 +70,7 @@
         stageDispatcher.peerDisconnected(peer);
         platformWatcher.peerDisconnected(peer);
         loads.peerDisconnected(peer);
+        rollouts.peerDisconnected(peer);
     }
 
     @Override
@@ -73,6 +80,7 @@
             versions.greet(caller);
             limits.greet(caller);
             loads.peerConnected();
+            rollouts.greet(caller);
         } else if (frame.hasKnowledgeRequest()) {
             peerStateExchange.handleRequest(caller, frame.getKnowledgeRequest());
         } else {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
@@ -56,7 +56,12 @@
     TARGET_PAUSED(6050, Level.INFO, "a target wants nothing from this gateway for some time"),
     TARGET_LEAVING(6051, Level.INFO, "a target says in an answer that it leaves; it is sent nothing more"),
     SECOND_RESPONSE_REFUSED(
-            6052, Level.ERROR, "a second response to one request was not written; the connection was reset");
+            6052, Level.ERROR, "a second response to one request was not written; the connection was reset"),
+    REQUEST_HEDGED(6053, Level.INFO, "a request was sent to a second target because its answer is late"),
+    ROLLOUT_ORDERED(6060, Level.WARN, "an order moves a pool to another software version"),
+    ROLLOUT_STEP(6061, Level.WARN, "this gateway has taken the next step of a roll-out"),
+    ROLLOUT_STATE(6062, Level.WARN, "the stored state of a roll-out has changed"),
+    ROLLOUT_UNREADABLE(6063, Level.ERROR, "an order in the object store cannot be decoded");
 
     private final EventDefinition definition;
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/RolloutStatus.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/RolloutStatus.java
@@ -141,19 +141,19 @@
     }
   }
 
-  public static final int ORDER_FIELD_NUMBER = 3;
-  private long order_ = 0L;
+  public static final int ELAPSED_MILLIS_FIELD_NUMBER = 3;
+  private int elapsedMillis_ = 0;
   /**
    * <pre>
-   * Revision in which the order was created.
+   * Time since a gateway first saw the order.
    * </pre>
    *
-   * <code>uint64 order = 3;</code>
-   * @return The order.
+   * <code>uint32 elapsed_millis = 3;</code>
+   * @return The elapsedMillis.
    */
   @java.lang.Override
-  public long getOrder() {
-    return order_;
+  public int getElapsedMillis() {
+    return elapsedMillis_;
   }
 
   public static final int COUNTS_FIELD_NUMBER = 4;
@@ -262,8 +262,8 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(version_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 2, version_);
     }
-    if (order_ != 0L) {
-      output.writeUInt64(3, order_);
+    if (elapsedMillis_ != 0) {
+      output.writeUInt32(3, elapsedMillis_);
     }
     for (int i = 0; i < counts_.size(); i++) {
       output.writeMessage(4, counts_.get(i));
@@ -287,9 +287,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(version_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(2, version_);
     }
-    if (order_ != 0L) {
+    if (elapsedMillis_ != 0) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(3, order_);
+        .computeUInt32Size(3, elapsedMillis_);
     }
 
         {
@@ -340,8 +340,8 @@
         .equals(other.getPool())) return false;
     if (!getVersion()
         .equals(other.getVersion())) return false;
-    if (getOrder()
-        != other.getOrder()) return false;
+    if (getElapsedMillis()
+        != other.getElapsedMillis()) return false;
     if (!getCountsList()
         .equals(other.getCountsList())) return false;
     if (getStopped()
@@ -365,9 +365,8 @@
     hash = (53 * hash) + getPool().hashCode();
     hash = (37 * hash) + VERSION_FIELD_NUMBER;
     hash = (53 * hash) + getVersion().hashCode();
-    hash = (37 * hash) + ORDER_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getOrder());
+    hash = (37 * hash) + ELAPSED_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + getElapsedMillis();
     if (getCountsCount() > 0) {
       hash = (37 * hash) + COUNTS_FIELD_NUMBER;
       hash = (53 * hash) + getCountsList().hashCode();
@@ -518,7 +517,7 @@
       bitField0_ = 0;
       pool_ = "";
       version_ = "";
-      order_ = 0L;
+      elapsedMillis_ = 0;
       if (countsBuilder_ == null) {
         counts_ = java.util.Collections.emptyList();
       } else {
@@ -582,7 +581,7 @@
         result.version_ = version_;
       }
       if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.order_ = order_;
+        result.elapsedMillis_ = elapsedMillis_;
       }
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.stopped_ = stopped_;
@@ -617,8 +616,8 @@
         bitField0_ |= 0x00000002;
         onChanged();
       }
-      if (other.getOrder() != 0L) {
-        setOrder(other.getOrder());
+      if (other.getElapsedMillis() != 0) {
+        setElapsedMillis(other.getElapsedMillis());
       }
       if (countsBuilder_ == null) {
         if (!other.counts_.isEmpty()) {
@@ -690,7 +689,7 @@
               break;
             } // case 18
             case 24: {
-              order_ = input.readUInt64();
+              elapsedMillis_ = input.readUInt32();
               bitField0_ |= 0x00000004;
               break;
             } // case 24
@@ -903,46 +902,46 @@
       return this;
     }
 
-    private long order_ ;
+    private int elapsedMillis_ ;
     /**
      * <pre>
-     * Revision in which the order was created.
+     * Time since a gateway first saw the order.
      * </pre>
      *
-     * <code>uint64 order = 3;</code>
-     * @return The order.
+     * <code>uint32 elapsed_millis = 3;</code>
+     * @return The elapsedMillis.
      */
     @java.lang.Override
-    public long getOrder() {
-      return order_;
+    public int getElapsedMillis() {
+      return elapsedMillis_;
     }
     /**
      * <pre>
-     * Revision in which the order was created.
+     * Time since a gateway first saw the order.
      * </pre>
      *
-     * <code>uint64 order = 3;</code>
-     * @param value The order to set.
+     * <code>uint32 elapsed_millis = 3;</code>
+     * @param value The elapsedMillis to set.
      * @return This builder for chaining.
      */
-    public Builder setOrder(long value) {
+    public Builder setElapsedMillis(int value) {
 
-      order_ = value;
+      elapsedMillis_ = value;
       bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * Revision in which the order was created.
+     * Time since a gateway first saw the order.
      * </pre>
      *
-     * <code>uint64 order = 3;</code>
+     * <code>uint32 elapsed_millis = 3;</code>
      * @return This builder for chaining.
      */
-    public Builder clearOrder() {
+    public Builder clearElapsedMillis() {
       bitField0_ = (bitField0_ & ~0x00000004);
-      order_ = 0L;
+      elapsedMillis_ = 0;
       onChanged();
       return this;
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/RolloutStatusOrBuilder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/RolloutStatusOrBuilder.java
@@ -44,13 +44,13 @@
 
   /**
    * <pre>
-   * Revision in which the order was created.
+   * Time since a gateway first saw the order.
    * </pre>
    *
-   * <code>uint64 order = 3;</code>
-   * @return The order.
+   * <code>uint32 elapsed_millis = 3;</code>
+   * @return The elapsedMillis.
    */
-  long getOrder();
+  int getElapsedMillis();
 
   /**
    * <code>repeated .masticfold.gateway.VersionCount counts = 4;</code>
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StoreDialect.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StoreDialect.java
@@ -3,6 +3,8 @@
 import io.masticfold.core.directory.TargetRecord;
 import io.masticfold.core.error.MasticfoldException;
 import io.masticfold.core.forward.ForwardConfig;
+import io.masticfold.core.rollout.RolloutOrder;
+import io.masticfold.core.rollout.RolloutState;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
 import java.util.Optional;
@@ -27,6 +29,19 @@
     /** Returns the path of one object. */
     String objectUri(StoreKind kind, String name);
 
+    /** Returns the path of the status of one object. */
+    String statusUri(StoreKind kind, String name);
+
+    /**
+     * Decodes an order that moves a pool to another software version.
+     *
+     * @return empty if the object is malformed
+     */
+    Optional<RolloutOrder> decodeRollout(StoreObject object);
+
+    /** Encodes a new state of an order, which is stored only if the order has not been changed since it was read. */
+    byte[] encodeRolloutStatus(RolloutOrder order, RolloutState state);
+
     /** Encodes an object that names a prompt part that crashes targets. */
     byte[] encodeQuarantinedPart(String part);
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StoreKind.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StoreKind.java
@@ -13,5 +13,7 @@
     /** Prompt parts and requests that crash targets. */
     QUARANTINED_PARTS,
     /** Software versions that began streams, one object for each gateway. */
-    STREAM_RECORDS
+    STREAM_RECORDS,
+    /** Orders of operators that move a pool to another software version, and their state. */
+    ROLLOUTS
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
@@ -21,6 +21,7 @@
 import io.masticfold.gateway.protocol.PromptPart;
 import io.masticfold.gateway.quarantine.PoisonQuarantine;
 import io.masticfold.gateway.resume.StreamVersionRegistry;
+import io.masticfold.gateway.rollout.Rollouts;
 import io.masticfold.gateway.stage.StageAdmissionQueue;
 import io.masticfold.gateway.stage.StageDispatcher;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -52,6 +53,7 @@
             PoisonQuarantine quarantine,
             StreamVersionRegistry versions,
             TargetRateLimits limits,
+            Rollouts rollouts,
             GracefulShutdown shutdown) {
         this.context = context;
         this.services = new RequestServices(
@@ -62,7 +64,9 @@
                 quarantine,
                 versions,
                 limits,
-                shutdown);
+                rollouts,
+                shutdown,
+                new RequestHedging(context));
         quarantine.addListener(suspect -> List.copyOf(active).forEach(run -> run.suspectQuarantined(suspect)));
     }
 
@@ -145,6 +149,7 @@
         if (config.version() != knownConfigVersion) {
             knownConfigVersion = config.version();
             services.shutdown().retainRoutes(config.routeNames());
+            services.hedging().retainRoutes(config.routeNames());
         }
     }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRecorder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRecorder.java
@@ -78,6 +78,17 @@
                 .log();
     }
 
+    /** Logs that the request is sent to a second target while its first send is in progress. */
+    void recordHedged(TargetRecord first, TargetRecord second) {
+        context.log()
+                .routine(GatewayEvent.REQUEST_HEDGED)
+                .addKeyValue("request", routed.metadata().attemptId())
+                .addKeyValue("first", first.id())
+                .addKeyValue("second", second.id())
+                .addKeyValue("afterMillis", sinceStart() - sentMillis)
+                .log();
+    }
+
     /** Logs that a stream does not go on. */
     void recordNotResumed(TargetChoice refusal) {
         context.telemetry().count(refusal.refusal().code());
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -47,13 +47,14 @@
     private final FinalResponse response;
     private final @Nullable StreamProgress progress;
     private final StreamWatchdog watchdog;
-    private final SendHistory history = new SendHistory();
     private final Deadline deadline;
     private final List<String> suspects;
     private final TargetSelection selection;
     private final StreamVersionBinding binding;
+    private final SendHistory history = new SendHistory();
+    private final ActiveSends sends = new ActiveSends(history);
     private Cancellable timer = Cancellable.NONE;
-    private @Nullable TargetResponseReceiver send;
+    private Cancellable hedgeTimer = Cancellable.NONE;
     private List<String> inputs = List.of();
     private boolean ended;
 
@@ -166,9 +167,10 @@
         }
         history.recordSend();
         recorder.recordSent(target.target(), history.sends(), remaining());
+        services.rollouts().recordSent(target.target(), routed.route().name());
         TargetResponseReceiver next = new TargetResponseReceiver(
                 context, this, target, routed.metadata().attemptId(), target.tokensToRead(), progress);
-        send = next;
+        sends.add(next);
         boolean repeatable = routed.route().kind().repeatable();
         Exchange exchange = context.client()
                 .send(
@@ -184,10 +186,34 @@
         if (stages.hasRun()) {
             context.scheduler().schedule(ASSUMED_RESULT_READ_TIME, () -> inputsRead(next));
         }
+        if (history.sends() == 1) {
+            services.hedging()
+                    .recordSend(routed)
+                    .ifPresent(delay -> hedgeTimer = context.scheduler().schedule(delay, () -> hedge(next)));
+        }
+    }
+
+    /** Sends the request to a second target if the answer to its first send is late and the limits allow it. */
+    private void hedge(TargetResponseReceiver first) {
+        if (ended || !sends.contains(first) || first.answering()) {
+            return;
+        }
+        services.hedging()
+                .second(
+                        services,
+                        routed,
+                        first.target().target(),
+                        history.sends(),
+                        remaining(),
+                        used -> selection.chooseSecond(routed, used, binding.requirement(), stages.resultBytesByZone()))
+                .ifPresent(second -> {
+                    recorder.recordHedged(first.target().target(), second.target());
+                    send(services.targets().pool(routed.pool()), second);
+                });
     }
 
     private void inputsRead(TargetResponseReceiver current) {
-        if (!ended && send == current) {
+        if (!ended && sends.contains(current)) {
             stages.resultsRead();
         }
     }
@@ -229,9 +255,8 @@
     }
 
     private void stalled() {
-        TargetResponseReceiver active = send;
-        if (active != null && !ended) {
-            active.stalled(routed.route().eventPatience());
+        if (!ended) {
+            sends.latest().ifPresent(active -> active.stalled(routed.route().eventPatience()));
         }
     }
 
@@ -257,9 +282,12 @@
      */
     void firstAnswer(TargetTracker target, long tokens, int inFlight, Duration took) {
         services.targets().pool(routed.pool()).recordAnswerTime(target, tokens, inFlight, took);
+        boolean warm = !target.cold(context.scheduler().nanoTime());
+        services.rollouts().recordAnswer(target.target(), routed.route().name(), tokens, took, warm);
     }
 
     void targetFailed(TargetTracker target, boolean nowSuspect) {
+        services.rollouts().recordFailed(target.target(), routed.route().name());
         if (nowSuspect) {
             context.log()
                     .important(GatewayEvent.TARGET_SUSPECT)
@@ -273,13 +301,15 @@
         if (ended) {
             return;
         }
-        send = null;
         history.recordOutcome(result.outcome());
         if (result.outcome() == SendOutcome.ANSWERED) {
+            sends.cancelOthers(endedSend, context.telemetry());
             services.quarantine().recordCleared(suspects);
+            services.hedging().recordAnswer(routed, endedSend.sinceSent());
             succeed(result);
             return;
         }
+        boolean otherInProgress = sends.failed(endedSend);
         if (result.outcome() == SendOutcome.FAILED) {
             services.quarantine().recordCleared(List.of(routed.requestSuspect()));
         }
@@ -288,7 +318,7 @@
         if (result.brokenOff() && endedSend.eventsSeen() < EVENT_OF_A_BEGUN_ANSWER) {
             services.quarantine().recordBrokenOff(endedSend.target().target(), suspects);
         }
-        if (ended) {
+        if (ended || otherInProgress) {
             return;
         }
         if (permitResend(result)) {
@@ -357,11 +387,9 @@
         if (ended) {
             return;
         }
-        TargetResponseReceiver active = send;
-        if (active != null) {
-            active.expired();
-        }
-        cancelSend();
+        sends.all().stream().filter(TargetResponseReceiver::expired).forEach(silent -> services.rollouts()
+                .recordFailed(silent.target().target(), routed.route().name()));
+        sends.cancelAll();
         if (progress != null && progress.started()) {
             abort(ErrorKind.STAGE_TIMEOUT, "deadline of the request has passed");
         } else {
@@ -398,6 +426,7 @@
     private void end() {
         ended = true;
         timer.cancel();
+        hedgeTimer.cancel();
         watchdog.stop();
         stages.release();
         onEnd.accept(this);
@@ -408,21 +437,13 @@
         if (ended || !suspects.contains(suspect) || (progress != null && progress.started())) {
             return;
         }
-        cancelSend();
+        sends.cancelAll();
         refuse(TargetSelection.quarantined(suspect));
     }
 
-    /** Closes the connection of the send in progress, if any; if a byte has left, the request may have run. */
-    private void cancelSend() {
-        TargetResponseReceiver active = send;
-        if (active != null && active.cancel()) {
-            history.recordCancelled();
-        }
-    }
-
     /** Refuses the request unless a send to a target is in progress. */
     void refuseUnsent() {
-        if (!ended && send == null) {
+        if (!ended && sends.isEmpty()) {
             fail(ErrorKind.SHUTTING_DOWN, "gateway is stopping");
         }
     }
@@ -430,7 +451,7 @@
     /** Answers the request with an error, or breaks its stream off, since the process exits. */
     void endBeforeExit() {
         if (!ended) {
-            cancelSend();
+            sends.cancelAll();
             fail(ErrorKind.SHUTTING_DOWN, "gateway exits");
         }
     }
@@ -451,19 +472,15 @@
         if (ended) {
             return;
         }
-        TargetResponseReceiver active = send;
         end();
-        if (active != null) {
-            active.cancel();
-        }
+        sends.cancelAll();
         recordEnd(GatewayEvent.REQUEST_CANCELLED, "cancelled", "caller closed its connection");
     }
 
     @Override
     public void writabilityChanged(boolean writable) {
-        TargetResponseReceiver active = send;
-        if (active != null && !ended) {
-            active.setAutoRead(writable);
+        if (!ended && !sends.isEmpty()) {
+            sends.all().forEach(active -> active.setAutoRead(writable));
             pauseWatchdog(!writable);
         }
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestServices.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestServices.java
@@ -4,6 +4,7 @@
 import io.masticfold.gateway.limit.TargetRateLimits;
 import io.masticfold.gateway.quarantine.PoisonQuarantine;
 import io.masticfold.gateway.resume.StreamVersionRegistry;
+import io.masticfold.gateway.rollout.Rollouts;
 import io.masticfold.gateway.stage.StageAdmissionQueue;
 import io.masticfold.gateway.stage.StageDispatcher;
 
@@ -17,7 +18,9 @@
  * @param quarantine knows the requests and prompt parts that crash targets
  * @param versions knows the software versions that began streams
  * @param limits knows the rate limits that targets name
+ * @param rollouts knows which software versions requests may go to
  * @param shutdown decides what is accepted while the process stops
+ * @param hedging decides on second sends of requests whose answer is late
  */
 record RequestServices(
         StageDispatcher stages,
@@ -27,4 +30,6 @@
         PoisonQuarantine quarantine,
         StreamVersionRegistry versions,
         TargetRateLimits limits,
-        GracefulShutdown shutdown) {}
+        Rollouts rollouts,
+        GracefulShutdown shutdown,
+        RequestHedging hedging) {}
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetPool.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetPool.java
@@ -175,6 +175,18 @@
         sample.recordTo(model);
     }
 
+    /** Returns the slots of the usable targets and the requests there, as far as known. */
+    PoolLoad load() {
+        long now = context.scheduler().nanoTime();
+        int slots = 0;
+        int inFlight = 0;
+        for (TargetRecord target : context.view().directory().usable(name)) {
+            slots += Math.max(1, target.slots());
+            inFlight += state(target, now).knownLoad(now);
+        }
+        return new PoolLoad(slots, inFlight);
+    }
+
     private boolean local(TargetRecord target) {
         return target.zone().equals(context.settings().zone());
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
@@ -273,14 +273,17 @@
         }
     }
 
-    /** Records that the target has not begun to answer by the request's deadline. */
-    void expired() {
-        if (!ended && response == null) {
+    /** Records that the deadline has passed; returns whether the target has not begun to answer by then. */
+    boolean expired() {
+        boolean silent = !ended && response == null;
+        if (silent) {
             target.load().failed(context.scheduler().nanoTime());
         }
+        return silent;
     }
 
-    private Duration sinceSent() {
+    /** Returns the time since the request was sent. */
+    Duration sinceSent() {
         return Duration.ofNanos(context.scheduler().nanoTime() - sentNanos);
     }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetSelection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetSelection.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway.request;
 
+import io.masticfold.core.directory.TargetRecord;
 import io.masticfold.core.error.ErrorKind;
 import io.masticfold.core.forward.ForwardConfig;
 import io.masticfold.core.forward.PoolSpec;
@@ -7,9 +8,13 @@
 import io.masticfold.core.quarantine.SuspectKind;
 import io.masticfold.core.resume.VersionRequirement;
 import io.masticfold.gateway.context.GatewayContext;
+import io.masticfold.gateway.rollout.VersionFilter;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /** Decides whether a request may be sent now and to which target, with all bounds in one order. */
 final class TargetSelection {
@@ -73,26 +78,48 @@
             VersionRequirement version,
             Map<String, Long> resultBytes) {
         int gateways = context.view().sharingGateways();
+        VersionFilter rollout = services.rollouts().filter(routed.pool());
+        Predicate<TargetRecord> excluded = target -> history.failedTargets().contains(target.id())
+                || !version.allows(target)
+                || !rollout.permitted().test(target);
         boolean begins =
                 version.kind() == VersionRequirement.Kind.NONE && routed.route().kind() == RequestKind.RESUMABLE_STREAM;
-        if (begins) {
-            Optional<TargetTracker> recorded = pool.choose(
-                    spec,
-                    routed,
-                    resultBytes,
-                    target -> history.failedTargets().contains(target.id())
-                            || !services.versions().mayBeginStreams(target),
-                    gateways);
-            if (recorded.isPresent()) {
-                return recorded;
-            }
-        }
-        return pool.choose(
-                spec,
-                routed,
-                resultBytes,
-                target -> history.failedTargets().contains(target.id()) || !version.allows(target),
-                gateways);
+        Predicate<TargetRecord> unrecorded =
+                target -> begins && !services.versions().mayBeginStreams(target);
+        return Stream.of(
+                        excluded.or(unrecorded).or(rollout.preferred().negate()),
+                        excluded.or(unrecorded),
+                        excluded.or(rollout.preferred().negate()),
+                        excluded)
+                .flatMap(unusable -> pool.choose(spec, routed, resultBytes, unusable, gateways).stream())
+                .findFirst();
+    }
+
+    /**
+     * Chooses the target of a second send while the first is in progress; empty unless there is one that is neither
+     * used, cold nor suspect.
+     *
+     * @param used ids of the targets that have the request
+     */
+    Optional<TargetTracker> chooseSecond(
+            RoutedRequest routed, Set<String> used, VersionRequirement version, Map<String, Long> resultBytes) {
+        long now = context.scheduler().nanoTime();
+        ForwardConfig config = context.view().config();
+        Optional<PoolSpec> spec = config == null ? Optional.empty() : config.pool(routed.pool());
+        return spec.flatMap(pool -> services.targets()
+                        .pool(routed.pool())
+                        .choose(
+                                pool,
+                                routed,
+                                resultBytes,
+                                target -> used.contains(target.id())
+                                        || !version.allows(target)
+                                        || !services.rollouts()
+                                                .filter(routed.pool())
+                                                .permitted()
+                                                .test(target),
+                                context.view().sharingGateways()))
+                .filter(target -> !target.cold(now) && !target.suspect(now));
     }
 
     /** Returns the refusal of a stream that cannot go on at the version that it requires; empty if it can. */
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetTracker.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetTracker.java
@@ -69,7 +69,7 @@
     }
 
     TargetLoadView view(boolean sameZone, long nowNanos) {
-        boolean fresh = reported && nowNanos - reportNanos < MAX_REPORT_AGE.toNanos();
+        boolean fresh = fresh(nowNanos);
         return new TargetLoadView(
                 target,
                 load.shared().ownInFlight(),
@@ -92,6 +92,16 @@
                 sameZone);
     }
 
+    /** Returns the requests that run or wait at the target, as told by gateways or reported by it if that is more. */
+    int knownLoad(long nowNanos) {
+        int told = load.shared().inFlight();
+        return fresh(nowNanos) ? Math.max(told, report.running() + report.waiting()) : told;
+    }
+
+    private boolean fresh(long nowNanos) {
+        return reported && nowNanos - reportNanos < MAX_REPORT_AGE.toNanos();
+    }
+
     /** Returns the load that this gateway and its peers observe. */
     TargetLoad load() {
         return load;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/settings/GatewaySettings.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/settings/GatewaySettings.java
@@ -1,8 +1,10 @@
 package io.masticfold.gateway.settings;
 
+import io.masticfold.core.rollout.RolloutSettings;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Holds the settings of one gateway.
@@ -22,6 +24,9 @@
  * @param retryWindow length of the window of the retry limit
  * @param coldFactor factor on the request rate that a cold target sustains
  * @param coldSlack requests per second beyond that rate
+ * @param hedgeRatio largest share of the sends of a route that are repeated at a second target because their answer is
+ *     late; 0 disables it
+ * @param rollout limits of orders that move a pool to another software version; empty if there are no such orders
  */
 public record GatewaySettings(
         String node,
@@ -38,7 +43,12 @@
         double retryExtra,
         Duration retryWindow,
         double coldFactor,
-        double coldSlack) {
+        double coldSlack,
+        double hedgeRatio,
+        Optional<RolloutSettings> rollout) {
+
+    /** Above this share, second sends would be a considerable part of the load that they are meant to avoid. */
+    static final double MAX_HEDGE_RATIO = 0.2;
 
     /** Copies the list of seeds and validates the values. */
     public GatewaySettings {
@@ -46,6 +56,9 @@
         if (node.isEmpty()) {
             throw new IllegalArgumentException("node must not be empty");
         }
+        if (!(hedgeRatio >= 0 && hedgeRatio <= MAX_HEDGE_RATIO)) {
+            throw new IllegalArgumentException("hedgeRatio must be 0 to " + MAX_HEDGE_RATIO + ": " + hedgeRatio);
+        }
         if (retryRatio < 0 || retryExtra < 0) {
             throw new IllegalArgumentException(
                     "retryRatio and retryExtra must not be negative: " + retryRatio + ", " + retryExtra);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/settings/GatewaySettingsReader.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/settings/GatewaySettingsReader.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway.settings;
 
+import io.masticfold.core.rollout.RolloutSettings;
 import io.masticfold.platform.json.AddressSupport;
 import io.masticfold.platform.json.FieldReader;
 import io.masticfold.platform.json.JsonDocument;
@@ -74,6 +75,8 @@
         int retryWindowMillis = (int) (fields.positive("retryWindowSeconds") * 1000);
         double coldFactor = fields.positive("coldFactor");
         double coldSlack = fields.positive("coldSlack");
+        double hedgeRatio = hedgeRatio(fields);
+        Optional<RolloutSettings> rollout = rollout(fields);
         return fields.build(() -> new GatewaySettings(
                 node,
                 zone,
@@ -89,6 +92,28 @@
                 retryExtra,
                 Duration.ofMillis(retryWindowMillis),
                 coldFactor,
-                coldSlack));
+                coldSlack,
+                hedgeRatio,
+                rollout));
+    }
+
+    private static Optional<RolloutSettings> rollout(FieldReader fields) {
+        return fields.object("rollout").flatMap(rollout -> {
+            double share = rollout.positive("exposeShare");
+            double slack = rollout.positive("exposeSlack");
+            int delayMillis = rollout.integer("rollbackMillis", 1, MAX_MILLIS);
+            if (share > 1) {
+                rollout.report("exposeShare", "accepted: above 0, at most 1");
+            }
+            return rollout.build(() -> new RolloutSettings(share, slack, Duration.ofMillis(delayMillis)));
+        });
+    }
+
+    private static double hedgeRatio(FieldReader fields) {
+        double ratio = fields.has("hedgeRatio") ? fields.positive("hedgeRatio") : 0;
+        if (ratio > GatewaySettings.MAX_HEDGE_RATIO) {
+            fields.report("hedgeRatio", "accepted: above 0, at most " + GatewaySettings.MAX_HEDGE_RATIO);
+        }
+        return ratio;
     }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatcher.java
@@ -3,6 +3,7 @@
 import io.masticfold.core.directory.DisabledZones;
 import io.masticfold.core.directory.TargetRecord;
 import io.masticfold.core.directory.TargetTable;
+import io.masticfold.core.rollout.RolloutOrder;
 import io.masticfold.core.stage.ServerOwnership;
 import io.masticfold.core.time.Scheduler;
 import io.masticfold.gateway.log.GatewayEvent;
@@ -12,7 +13,10 @@
 import io.masticfold.gateway.protocol.StoreDialect;
 import io.masticfold.gateway.protocol.StoreKind;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /** Updates the {@link PlatformView} from the object store. Not thread-safe. */
@@ -53,6 +57,8 @@
      *
      * @param node name of this gateway
      * @param onUnlisted called when the store does not list this gateway, so that it has to register
+     * @param rollouts told the orders of operators that move pools to other software versions; empty if there are none
+     *     in this deployment
      */
     public PlatformWatcher(
             ObjectStoreClient store,
@@ -61,7 +67,8 @@
             PlatformView view,
             RateLimitedLog log,
             String node,
-            Runnable onUnlisted) {
+            Runnable onUnlisted,
+            Optional<Consumer<List<RolloutOrder>>> rollouts) {
         this.node = node;
         this.log = log;
         this.scheduler = scheduler;
@@ -80,7 +87,7 @@
                 CONFIGURATION_AND_ZONES_PAUSE,
                 configuration,
                 configurationWatches);
-        this.watchers = List.of(
+        List<KindWatcher> all = new ArrayList<>(List.of(
                 configurationWatcher,
                 new KindWatcher(
                         store,
@@ -105,7 +112,16 @@
                         StoreKind.GATEWAYS,
                         GATEWAYS_PAUSE,
                         new GatewayListener(dialect, view, node, onUnlisted, reachability, log),
-                        gatewayReads()));
+                        gatewayReads())));
+        rollouts.ifPresent(receiver -> all.add(new KindWatcher(
+                store,
+                dialect,
+                scheduler,
+                StoreKind.ROLLOUTS,
+                CONFIGURATION_AND_ZONES_PAUSE,
+                new RolloutListener(dialect, receiver, reachability, log),
+                sharedWatches(StoreKind.ROLLOUTS))));
+        this.watchers = List.copyOf(all);
     }
 
     private SharedWatches sharedWatches(StoreKind kind) {
