Wait before the first stage where results would expire; correct roll-outs and hedges after review

Change: a request waits before its first stage while a later pool's backlog exceeds half of that lifetime. Review of the roll-outs: a gateway sends nothing to a second version before the orders are read; a version whose order has not been completed is withheld after the order is replaced or lost; a final state is kept when the store loses it; the others write if the first by name cannot; frames name the order's revision; a roll-back for want of responses comes later and is not told as a verdict. Hedges: no charge to a named limit, peers assumed as busy, none right after a pause.

--- a/masticfold-core/src/main/java/io/masticfold/core/directory/TargetDirectory.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/directory/TargetDirectory.java
@@ -46,6 +46,13 @@
         return usableByPool.getOrDefault(pool, List.of());
     }
 
+    /** Returns all known targets of a pool, those that may receive no new requests included. */
+    public List<TargetRecord> all(String pool) {
+        return byId.values().stream()
+                .filter(target -> target.pool().equals(pool))
+                .toList();
+    }
+
     /** Returns whether a target may receive new requests. */
     public boolean usable(TargetRecord target) {
         TargetRecord known = byId.get(target.id());
--- a/masticfold-core/src/main/java/io/masticfold/core/rollout/RolloutEvidence.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/rollout/RolloutEvidence.java
@@ -4,8 +4,8 @@
 import java.util.Map;
 
 /**
- * Counts of requests by gateway, software version and route. Each gateway tells totals since it started, so that what
- * it tells later replaces what it told before, and nothing is counted twice. Used by one thread.
+ * Counts of requests by gateway, software version and route. Each gateway sends totals since it first saw the order,
+ * so that a later message replaces an earlier one, and nothing is counted twice. Used by one thread.
  */
 public final class RolloutEvidence {
 
--- a/masticfold-core/src/main/java/io/masticfold/core/rollout/RolloutPolicy.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/rollout/RolloutPolicy.java
@@ -36,6 +36,12 @@
     /** Part of the duration at which the order ends, with time left to store it and for its news to arrive. */
     static final double END_FRACTION = 0.85;
 
+    /**
+     * Part of the duration at which an order without enough responses is rolled back. It is later than the other end,
+     * so that a gateway that is cut off from its peers does not decide before those that have responses.
+     */
+    static final double UNDECIDED_FRACTION = 0.92;
+
     private RolloutPolicy() {}
 
     /**
@@ -43,23 +49,23 @@
      *
      * @param elapsed time since the order was first seen
      * @param duration time within which the order has to end
-     * @param fresh counts of the new version by route
-     * @param old counts of the other versions by route
+     * @param newCounts counts of the new version by route
+     * @param oldCounts counts of the other versions by route
      * @param moved whether nothing runs at other versions any more, at all gateways
      */
     public static RolloutStep decide(
             Duration elapsed,
             Duration duration,
-            Map<String, VersionCounts> fresh,
-            Map<String, VersionCounts> old,
+            Map<String, VersionCounts> newCounts,
+            Map<String, VersionCounts> oldCounts,
             boolean moved) {
-        if (isBad(fresh, old)) {
+        if (isBad(newCounts, oldCounts)) {
             return RolloutStep.ROLL_BACK;
         }
         double fraction = duration.isZero() ? 1 : (double) elapsed.toNanos() / duration.toNanos();
-        long ended = fresh.values().stream().mapToLong(VersionCounts::ended).sum();
+        long ended = newCounts.values().stream().mapToLong(VersionCounts::ended).sum();
         if (ended < MIN_ENDED) {
-            return fraction < END_FRACTION ? RolloutStep.EXPOSE : RolloutStep.ROLL_BACK;
+            return fraction < UNDECIDED_FRACTION ? RolloutStep.EXPOSE : RolloutStep.ROLL_BACK;
         }
         if (fraction < MOVE_FRACTION) {
             return RolloutStep.EXPOSE;
@@ -67,26 +73,32 @@
         return moved || fraction >= END_FRACTION ? RolloutStep.COMPLETE : RolloutStep.MOVE;
     }
 
-    /** Returns whether the new version gives more bad responses than the old one, on one route or on all together. */
-    static boolean isBad(Map<String, VersionCounts> fresh, Map<String, VersionCounts> old) {
-        VersionCounts allFresh = VersionCounts.NONE;
+    /**
+     * Returns whether the new version gives more bad responses than the old one, on one route or on all together. A
+     * route on which the old version has hardly answered counts only with the others.
+     *
+     * @param newCounts counts of the new version by route
+     * @param oldCounts counts of the other versions by route
+     */
+    public static boolean isBad(Map<String, VersionCounts> newCounts, Map<String, VersionCounts> oldCounts) {
+        VersionCounts allNew = VersionCounts.NONE;
         VersionCounts allOld = VersionCounts.NONE;
-        for (Map.Entry<String, VersionCounts> route : fresh.entrySet()) {
-            VersionCounts before = old.getOrDefault(route.getKey(), VersionCounts.NONE);
-            if (isWorse(route.getValue(), before)) {
+        for (Map.Entry<String, VersionCounts> route : newCounts.entrySet()) {
+            VersionCounts before = oldCounts.getOrDefault(route.getKey(), VersionCounts.NONE);
+            if (before.ended() >= MIN_ENDED && isWorse(route.getValue(), before)) {
                 return true;
             }
-            allFresh = allFresh.plus(route.getValue());
+            allNew = allNew.plus(route.getValue());
             allOld = allOld.plus(before);
         }
-        return isWorse(allFresh, allOld);
+        return (allOld.ended() >= MIN_ENDED || allNew.bad() >= MIN_ENDED) && isWorse(allNew, allOld);
     }
 
-    private static boolean isWorse(VersionCounts fresh, VersionCounts old) {
-        if (fresh.bad() < MIN_BAD) {
+    private static boolean isWorse(VersionCounts newCounts, VersionCounts oldCounts) {
+        if (newCounts.bad() < MIN_BAD) {
             return false;
         }
-        double oldRate = (old.bad() + ASSUMED_OLD_BAD) / (old.ended() + ASSUMED_OLD_ENDED);
-        return BinomialTest.upperTail(fresh.bad(), fresh.ended(), oldRate) < FALSE_ALARM_PROBABILITY;
+        double oldRate = (oldCounts.bad() + ASSUMED_OLD_BAD) / (oldCounts.ended() + ASSUMED_OLD_ENDED);
+        return BinomialTest.upperTail(newCounts.bad(), newCounts.ended(), oldRate) < FALSE_ALARM_PROBABILITY;
     }
 }
--- a/masticfold-core/src/main/java/io/masticfold/core/stage/StageAdmission.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/stage/StageAdmission.java
@@ -23,6 +23,12 @@
      */
     static final double TYPICAL_DURATION_FACTOR = 1.25;
 
+    /**
+     * Largest part of the lifetime of stored results that a piece which reads them is expected to wait. More urgent
+     * requests that arrive in the meantime make it wait longer, and an expired result has to be computed again.
+     */
+    static final double MAX_LIFETIME_FRACTION = 0.5;
+
     private StageAdmission() {}
 
     private static Duration typical(Duration expected) {
@@ -40,6 +46,9 @@
         if (timeToDeadline.compareTo(path.unloaded()) < 0) {
             return Verdict.REFUSE;
         }
+        if (path.longestInputWait().toMillis() > path.inputLifetime().toMillis() * MAX_LIFETIME_FRACTION) {
+            return Verdict.WAIT;
+        }
         if (typical(path.expected()).compareTo(timeToObjective) <= 0
                 || path.longestBacklog().compareTo(MAX_LATE_START_BACKLOG) <= 0) {
             return Verdict.START;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -138,7 +138,9 @@
                 settings.node(),
                 () -> this.settings.get().rollout(),
                 new RolloutStore(store, protocol.store()),
-                loads);
+                loads,
+                pauseGuard,
+                platformWatcher::ordersComplete);
         this.quarantineStore = new QuarantineStore(store, protocol.store(), scheduler, log);
         this.stageDispatcher = new StageDispatcher(context, _name -> retryBudget());
         this.admissionQueue = new StageAdmissionQueue(context);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/load/TargetLoads.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/load/TargetLoads.java
@@ -43,7 +43,8 @@
             return known;
         }
         if (loads.size() >= cleanupSize) {
-            loads.keySet().removeIf(this::gone);
+            loads.entrySet()
+                    .removeIf(entry -> entry.getValue().shared().ownInFlight() == 0 && gone(entry.getKey()));
             cleanupSize = Math.max(CLEANUP_SIZE, 2 * loads.size());
         }
         TargetLoad created = new TargetLoad(target);
@@ -90,6 +91,12 @@
         long now = scheduler.nanoTime();
         for (TargetObservation observed : status.getTargetsList()) {
             String incarnation = observed.getTarget();
+            TargetLoad known = loads.get(incarnation);
+            if (known != null) {
+                recordPace(known.pool());
+                known.merge(peer, observed, now);
+                continue;
+            }
             view.directory()
                     .find(incarnation.substring(0, Math.max(0, incarnation.lastIndexOf('@'))))
                     .filter(target -> target.incarnation().equals(incarnation))
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/Peer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/Peer.java
@@ -245,25 +245,25 @@
       "mplete\030\003 \001(\010\".\n\014PoolVersions\022\014\n\004pool\030\001 \001" +
       "(\t\022\020\n\010versions\030\002 \003(\t\"Q\n\013BegunStream\022\017\n\007a" +
       "ttempt\030\001 \001(\t\022\014\n\004pool\030\002 \001(\t\022\017\n\007version\030\003 " +
-      "\001(\t\022\022\n\nage_millis\030\004 \001(\r\"\255\001\n\rRolloutStatu" +
+      "\001(\t\022\022\n\nage_millis\030\004 \001(\r\"\277\001\n\rRolloutStatu" +
       "s\022\014\n\004pool\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\022\026\n\016elap" +
       "sed_millis\030\003 \001(\r\0220\n\006counts\030\004 \003(\0132 .masti" +
       "cfold.gateway.VersionCount\022\017\n\007stopped\030\005 " +
-      "\001(\010\022\r\n\005moved\030\006 \001(\010\022\023\n\013incarnation\030\007 \001(\004\"" +
-      "l\n\014VersionCount\022\017\n\007version\030\001 \001(\t\022\r\n\005rout" +
-      "e\030\002 \001(\t\022\014\n\004sent\030\003 \001(\004\022\020\n\010answered\030\004 \001(\004\022" +
-      "\016\n\006failed\030\005 \001(\004\022\014\n\004slow\030\006 \001(\004\"H\n\020Knowled" +
-      "geRequest\0224\n\trevisions\030\001 \003(\0132!.masticfol" +
-      "d.gateway.KnownRevision\"<\n\rKnownRevision" +
-      "\022\014\n\004kind\030\001 \001(\r\022\020\n\010revision\030\002 \001(\004\022\013\n\003era\030" +
-      "\003 \001(\004\"9\n\tKnowledge\022,\n\005kinds\030\001 \003(\0132\035.mast" +
-      "icfold.gateway.KnownKind\"j\n\tKnownKind\022\014\n" +
-      "\004kind\030\001 \001(\r\022\020\n\010revision\030\002 \001(\004\0220\n\007objects" +
-      "\030\003 \003(\0132\037.masticfold.gateway.KnownObject\022" +
-      "\013\n\003era\030\004 \001(\004\">\n\013KnownObject\022\014\n\004name\030\001 \001(" +
-      "\t\022\020\n\010revision\030\002 \001(\004\022\017\n\007content\030\003 \001(\014B&\n " +
-      "io.masticfold.gateway.peer.protoH\001P\001b\006pr" +
-      "oto3"
+      "\001(\010\022\r\n\005moved\030\006 \001(\010\022\023\n\013incarnation\030\007 \001(\004\022" +
+      "\020\n\010revision\030\010 \001(\004\"l\n\014VersionCount\022\017\n\007ver" +
+      "sion\030\001 \001(\t\022\r\n\005route\030\002 \001(\t\022\014\n\004sent\030\003 \001(\004\022" +
+      "\020\n\010answered\030\004 \001(\004\022\016\n\006failed\030\005 \001(\004\022\014\n\004slo" +
+      "w\030\006 \001(\004\"H\n\020KnowledgeRequest\0224\n\trevisions" +
+      "\030\001 \003(\0132!.masticfold.gateway.KnownRevisio" +
+      "n\"<\n\rKnownRevision\022\014\n\004kind\030\001 \001(\r\022\020\n\010revi" +
+      "sion\030\002 \001(\004\022\013\n\003era\030\003 \001(\004\"9\n\tKnowledge\022,\n\005" +
+      "kinds\030\001 \003(\0132\035.masticfold.gateway.KnownKi" +
+      "nd\"j\n\tKnownKind\022\014\n\004kind\030\001 \001(\r\022\020\n\010revisio" +
+      "n\030\002 \001(\004\0220\n\007objects\030\003 \003(\0132\037.masticfold.ga" +
+      "teway.KnownObject\022\013\n\003era\030\004 \001(\004\">\n\013KnownO" +
+      "bject\022\014\n\004name\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\017\n" +
+      "\007content\030\003 \001(\014B&\n io.masticfold.gateway." +
+      "peer.protoH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -400,7 +400,7 @@
     internal_static_masticfold_gateway_RolloutStatus_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_masticfold_gateway_RolloutStatus_descriptor,
-        new java.lang.String[] { "Pool", "Version", "ElapsedMillis", "Counts", "Stopped", "Moved", "Incarnation", });
+        new java.lang.String[] { "Pool", "Version", "ElapsedMillis", "Counts", "Stopped", "Moved", "Incarnation", "Revision", });
     internal_static_masticfold_gateway_VersionCount_descriptor =
       getDescriptor().getMessageType(22);
     internal_static_masticfold_gateway_VersionCount_fieldAccessorTable = new
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/RolloutStatus.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/RolloutStatus.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * State of a roll-out at the sender; counts are totals since the sender started, so that a later frame replaces earlier ones.
+ * State of a roll-out at the sender; counts are totals since it first saw the order, so that a later frame replaces earlier ones.
  * </pre>
  *
  * Protobuf type {@code masticfold.gateway.RolloutStatus}
@@ -242,6 +242,21 @@
     return incarnation_;
   }
 
+  public static final int REVISION_FIELD_NUMBER = 8;
+  private long revision_ = 0L;
+  /**
+   * <pre>
+   * Revision of the order that the sender knows.
+   * </pre>
+   *
+   * <code>uint64 revision = 8;</code>
+   * @return The revision.
+   */
+  @java.lang.Override
+  public long getRevision() {
+    return revision_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -277,6 +292,9 @@
     if (incarnation_ != 0L) {
       output.writeUInt64(7, incarnation_);
     }
+    if (revision_ != 0L) {
+      output.writeUInt64(8, revision_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -312,6 +330,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(7, incarnation_);
     }
+    if (revision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(8, revision_);
+    }
     return size;
   }
   @java.lang.Override
@@ -350,6 +372,8 @@
         != other.getMoved()) return false;
     if (getIncarnation()
         != other.getIncarnation()) return false;
+    if (getRevision()
+        != other.getRevision()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -380,6 +404,9 @@
     hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getIncarnation());
+    hash = (37 * hash) + REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRevision());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -479,7 +506,7 @@
   }
   /**
    * <pre>
-   * State of a roll-out at the sender; counts are totals since the sender started, so that a later frame replaces earlier ones.
+   * State of a roll-out at the sender; counts are totals since it first saw the order, so that a later frame replaces earlier ones.
    * </pre>
    *
    * Protobuf type {@code masticfold.gateway.RolloutStatus}
@@ -528,6 +555,7 @@
       stopped_ = false;
       moved_ = false;
       incarnation_ = 0L;
+      revision_ = 0L;
       return this;
     }
 
@@ -592,6 +620,9 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.incarnation_ = incarnation_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.revision_ = revision_;
+      }
     }
 
     @java.lang.Override
@@ -654,6 +685,9 @@
       if (other.getIncarnation() != 0L) {
         setIncarnation(other.getIncarnation());
       }
+      if (other.getRevision() != 0L) {
+        setRevision(other.getRevision());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -721,6 +755,11 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 64: {
+              revision_ = input.readUInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1312,6 +1351,50 @@
       return this;
     }
 
+    private long revision_ ;
+    /**
+     * <pre>
+     * Revision of the order that the sender knows.
+     * </pre>
+     *
+     * <code>uint64 revision = 8;</code>
+     * @return The revision.
+     */
+    @java.lang.Override
+    public long getRevision() {
+      return revision_;
+    }
+    /**
+     * <pre>
+     * Revision of the order that the sender knows.
+     * </pre>
+     *
+     * <code>uint64 revision = 8;</code>
+     * @param value The revision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRevision(long value) {
+
+      revision_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Revision of the order that the sender knows.
+     * </pre>
+     *
+     * <code>uint64 revision = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRevision() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      revision_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:masticfold.gateway.RolloutStatus)
   }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/RolloutStatusOrBuilder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/proto/RolloutStatusOrBuilder.java
@@ -105,4 +105,14 @@
    * @return The incarnation.
    */
   long getIncarnation();
+
+  /**
+   * <pre>
+   * Revision of the order that the sender knows.
+   * </pre>
+   *
+   * <code>uint64 revision = 8;</code>
+   * @return The revision.
+   */
+  long getRevision();
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRecorder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRecorder.java
@@ -20,6 +20,7 @@
     private long stagesExpectedMillis = NOT_REACHED;
     private long stagesDoneMillis = NOT_REACHED;
     private long sentMillis = NOT_REACHED;
+    private long firstSentNanos;
     private long firstEventMillis = NOT_REACHED;
 
     RequestRecorder(GatewayContext context, RoutedRequest routed) {
@@ -43,6 +44,9 @@
     /** Records that the request is sent to a target, and logs it. */
     void recordSent(TargetRecord target, int send, Duration left) {
         sentMillis = sinceStart();
+        if (send == 1) {
+            firstSentNanos = context.scheduler().nanoTime();
+        }
         context.log()
                 .routine(GatewayEvent.REQUEST_SENT)
                 .addKeyValue("request", routed.metadata().attemptId())
@@ -102,6 +106,11 @@
                 .log();
     }
 
+    /** Returns the time since the request was first sent to a target. */
+    Duration sinceFirstSend() {
+        return Duration.ofNanos(context.scheduler().nanoTime() - firstSentNanos);
+    }
+
     void recordFirstEvent() {
         firstEventMillis = sinceStart();
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -166,6 +166,7 @@
             pool.budget().deposit();
         }
         history.recordSend();
+        pool.recordSend(target);
         recorder.recordSent(target.target(), history.sends(), remaining());
         services.rollouts().recordSent(target.target(), routed.route().name());
         TargetResponseReceiver next = new TargetResponseReceiver(
@@ -189,7 +190,8 @@
         if (history.sends() == 1) {
             services.hedging()
                     .recordSend(routed)
-                    .ifPresent(delay -> hedgeTimer = context.scheduler().schedule(delay, () -> hedge(next)));
+                    .ifPresent(delay -> hedgeTimer = context.scheduler()
+                            .schedule(delay, () -> context.pauseGuard().run(() -> hedge(next))));
         }
     }
 
@@ -282,7 +284,7 @@
      */
     void firstAnswer(TargetTracker target, long tokens, int inFlight, Duration took) {
         services.targets().pool(routed.pool()).recordAnswerTime(target, tokens, inFlight, took);
-        boolean warm = !target.cold(context.scheduler().nanoTime());
+        boolean warm = target.warmFor(took, context.scheduler().nanoTime());
         services.rollouts().recordAnswer(target.target(), routed.route().name(), tokens, took, warm);
     }
 
@@ -305,7 +307,7 @@
         if (result.outcome() == SendOutcome.ANSWERED) {
             sends.cancelOthers(endedSend, context.telemetry());
             services.quarantine().recordCleared(suspects);
-            services.hedging().recordAnswer(routed, endedSend.sinceSent());
+            services.hedging().recordAnswer(routed, recorder.sinceFirstSend());
             succeed(result);
             return;
         }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetPool.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetPool.java
@@ -73,10 +73,14 @@
         Optional<TargetTracker> choice = loads.paced(name)
                 ? chooseByTime(candidates, request(routed, resultBytes), now)
                 : chooseByLoad(spec, candidates, routed.prompt(), resultBytes, now);
-        choice.ifPresent(tracker -> limits.recordSend(tracker.target()));
         return choice;
     }
 
+    /** Records that a request is sent to a target, for the rate limit that it may name. */
+    void recordSend(TargetTracker tracker) {
+        limits.recordSend(tracker.target());
+    }
+
     private List<TargetTracker> sendable(PoolSpec spec, Predicate<TargetRecord> excluded, int gateways, long now) {
         List<TargetRecord> usable = context.view().directory().usable(name);
         List<TargetTracker> trackers = usable.stream()
@@ -179,12 +183,20 @@
     PoolLoad load() {
         long now = context.scheduler().nanoTime();
         int slots = 0;
-        int inFlight = 0;
+        int known = 0;
+        int own = 0;
         for (TargetRecord target : context.view().directory().usable(name)) {
+            TargetTracker tracker = state(target, now);
             slots += Math.max(1, target.slots());
-            inFlight += state(target, now).knownLoad(now);
+            known += tracker.knownLoad(now);
+            own += tracker.load().shared().ownInFlight();
         }
-        return new PoolLoad(slots, inFlight);
+        // Without news of the peers, they are taken to have as many requests there as this gateway.
+        return new PoolLoad(
+                slots,
+                loads.paced(name)
+                        ? known
+                        : Math.max(known, own * context.view().sharingGateways()));
     }
 
     private boolean local(TargetRecord target) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetTracker.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetTracker.java
@@ -60,6 +60,11 @@
         return coldUntilNanos - nowNanos > 0;
     }
 
+    /** Returns whether the target has been warm for a time, such as that of a request that has just been answered. */
+    boolean warmFor(Duration time, long nowNanos) {
+        return !cold(nowNanos - time.toNanos());
+    }
+
     /** Returns the number of requests that this gateway sent to the target within the last second. */
     int recentSends(long nowNanos) {
         while (!sends.isEmpty() && nowNanos - sends.peekFirst() > SECOND_NANOS) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/rollout/Rollout.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/rollout/Rollout.java
@@ -28,13 +28,17 @@
     private final ExposureLimit limit;
     private final RolloutEvidence evidence = new RolloutEvidence();
     private final Set<String> movedPeers = new HashSet<>();
+    private final Set<String> knownSources = new HashSet<>();
+    private long begunRevision;
     private RolloutOrder order;
-    private RolloutStep step = RolloutStep.EXPOSE;
+    private RolloutStep step;
     private boolean ownMoved;
     private boolean changed = true;
 
     Rollout(RolloutOrder order, RolloutSettings settings, String self, long incarnation, long nowNanos) {
         this.order = order;
+        this.begunRevision = order.revision();
+        this.step = storedStep(order.state(), RolloutStep.EXPOSE);
         this.self = self;
         this.incarnation = incarnation;
         this.startNanos = nowNanos;
@@ -46,8 +50,20 @@
         return order;
     }
 
+    /** Replaces the stored state of the same order. A final state is kept even if the store loses it later. */
     void update(RolloutOrder newer) {
+        changed |= newer.revision() != order.revision();
+        begunRevision = Math.min(begunRevision, newer.revision());
         order = newer;
+        step = storedStep(newer.state(), step);
+    }
+
+    private static RolloutStep storedStep(RolloutState state, RolloutStep otherwise) {
+        return switch (state) {
+            case COMPLETED -> RolloutStep.COMPLETE;
+            case ROLLED_BACK -> RolloutStep.ROLL_BACK;
+            case ORDERED, RUNNING -> otherwise;
+        };
     }
 
     RolloutStep step() {
@@ -71,18 +87,15 @@
     }
 
     VersionFilter filter(int gateways) {
-        if (order.state() == RolloutState.COMPLETED) {
-            return new VersionFilter(this::isNew, this::isNew);
-        }
-        if (order.state() == RolloutState.ROLLED_BACK || step == RolloutStep.ROLL_BACK) {
-            return new VersionFilter(target -> !isNew(target), target -> !isNew(target));
-        }
-        if (step == RolloutStep.EXPOSE) {
-            return limit.permits(gateways)
-                    ? new VersionFilter(_target -> true, this::isNew)
-                    : new VersionFilter(target -> !isNew(target), target -> !isNew(target));
-        }
-        return new VersionFilter(_target -> true, this::isNew);
+        VersionFilter onlyNew = new VersionFilter(this::isNew, this::isNew);
+        VersionFilter onlyOthers = new VersionFilter(target -> !isNew(target), target -> !isNew(target));
+        VersionFilter newFirst = new VersionFilter(_target -> true, this::isNew);
+        return switch (step) {
+            case EXPOSE -> limit.permits(gateways) ? newFirst : onlyOthers;
+            case MOVE -> ownMoved ? onlyNew : newFirst;
+            case COMPLETE -> onlyNew;
+            case ROLL_BACK -> onlyOthers;
+        };
     }
 
     void recordSent(TargetRecord target, String route) {
@@ -106,8 +119,7 @@
         boolean movedNow = step == RolloutStep.MOVE && inFlightAtOthers == 0;
         changed |= movedNow != ownMoved;
         ownMoved = movedNow;
-        // A final step is kept: the news of it may have reached targets and peers already.
-        if (order.state().last() || step == RolloutStep.COMPLETE || step == RolloutStep.ROLL_BACK) {
+        if (order.state().last() || step == RolloutStep.ROLL_BACK) {
             return false;
         }
         RolloutStep next = RolloutPolicy.decide(
@@ -116,8 +128,9 @@
                 evidence.byRoute(order.version(), true),
                 evidence.byRoute(order.version(), false),
                 ownMoved && movedPeers.containsAll(peers));
-        boolean steps = next != step;
-        step = next;
+        // Completion is taken back only for a version that turns out bad before the state is stored.
+        boolean steps = next != step && (step != RolloutStep.COMPLETE || next == RolloutStep.ROLL_BACK);
+        step = steps ? next : step;
         changed |= steps;
         return steps;
     }
@@ -128,8 +141,13 @@
                 .reduce(VersionCounts.NONE, VersionCounts::plus);
     }
 
-    /** Returns whether the peers have to be told of a change, and takes it for told. */
-    boolean takeChanged() {
+    /** Returns whether this gateway judges by bad responses, and not for want of responses. */
+    private boolean foundBad() {
+        return RolloutPolicy.isBad(evidence.byRoute(order.version(), true), evidence.byRoute(order.version(), false));
+    }
+
+    /** Returns whether the peers have to be told of a change, and marks it as told. */
+    boolean consumeChanged() {
         boolean taken = changed;
         changed = false;
         return taken;
@@ -142,7 +160,8 @@
                 .setElapsedMillis((int) Math.min(
                         Integer.MAX_VALUE,
                         Duration.ofNanos(nowNanos - startNanos).toMillis()))
-                .setStopped(step == RolloutStep.ROLL_BACK)
+                .setRevision(order.revision())
+                .setStopped(step == RolloutStep.ROLL_BACK && foundBad())
                 .setMoved(ownMoved)
                 .setIncarnation(incarnation);
         evidence.of(source(self, incarnation))
@@ -156,7 +175,13 @@
         return status.build();
     }
 
+    /** Merges what a peer tells of this order; frames about an earlier order of the same version are ignored. */
     void merge(String peer, RolloutStatus status, long nowNanos) {
+        if (status.getRevision() < begunRevision) {
+            return;
+        }
+        // A peer that has just learned of the order has missed what was told before.
+        changed |= knownSources.add(source(peer, status.getIncarnation()));
         long peerStart = nowNanos - Duration.ofMillis(status.getElapsedMillis()).toNanos();
         startNanos = Math.min(startNanos, peerStart);
         Map<VersionRoute, VersionCounts> counts = new HashMap<>();
@@ -170,7 +195,7 @@
         } else {
             movedPeers.remove(peer);
         }
-        if (status.getStopped() && !order.state().last() && step != RolloutStep.COMPLETE) {
+        if (status.getStopped() && !order.state().last()) {
             step = RolloutStep.ROLL_BACK;
         }
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/rollout/RolloutStore.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/rollout/RolloutStore.java
@@ -26,10 +26,12 @@
     /**
      * Writes a state, unless a write is in progress. What the store holds afterwards is learnt by watching it: an
      * answer may be lost, and the write may lose to that of another gateway.
+     *
+     * @return whether the write was begun
      */
-    void write(RolloutOrder order, RolloutState state) {
+    boolean write(RolloutOrder order, RolloutState state) {
         if (writing) {
-            return;
+            return false;
         }
         writing = true;
         store.replace(
@@ -37,5 +39,6 @@
                 dialect.encodeRolloutStatus(order, state),
                 TIMEOUT,
                 (CallResult _result) -> writing = false);
+        return true;
     }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/rollout/Rollouts.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/rollout/Rollouts.java
@@ -7,6 +7,7 @@
 import io.masticfold.core.rollout.RolloutState;
 import io.masticfold.core.rollout.VersionCounts;
 import io.masticfold.core.telemetry.Telemetry;
+import io.masticfold.core.time.PauseGuard;
 import io.masticfold.core.time.Scheduler;
 import io.masticfold.gateway.load.TargetLoads;
 import io.masticfold.gateway.log.GatewayEvent;
@@ -19,11 +20,14 @@
 import io.masticfold.gateway.store.PlatformView;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
@@ -40,6 +44,9 @@
     /** Interval between two writes of the same state, longer than a write takes whose answer arrives. */
     private static final Duration WRITE_INTERVAL = Duration.ofMillis(1200);
 
+    /** Gateways that may write before this one; later ones write at the same time, and the store takes one of them. */
+    private static final int MAX_TURNS = 3;
+
     /** Factor over the usual time above which an answer counts as slow; bad versions are several times slower. */
     private static final double SLOW_FACTOR = 2.5;
 
@@ -53,10 +60,16 @@
     private final Supplier<Optional<RolloutSettings>> settings;
     private final RolloutStore store;
     private final TargetLoads loads;
+    private final PauseGuard pauseGuard;
+    private final BooleanSupplier ordersKnown;
     private final VersionHold hold = new VersionHold();
     private final Map<String, Rollout> rollouts = new HashMap<>();
     private final Map<String, ServiceTimeModel> usualTimes = new HashMap<>();
-    private final Map<String, Long> writtenNanos = new HashMap<>();
+    private final Map<String, Long> wantedNanos = new HashMap<>();
+
+    /** Versions by pool whose order has not been completed; they get nothing until they are ordered again. */
+    private final Map<String, Set<String>> withheld = new HashMap<>();
+
     private @Nullable PeerLinks links;
     private long incarnation;
 
@@ -65,6 +78,7 @@
      *
      * @param node name of this gateway
      * @param settings supplies the limits of orders; empty if there are no orders in this deployment
+     * @param ordersKnown tells whether the orders have been read since the start
      */
     public Rollouts(
             Scheduler scheduler,
@@ -74,7 +88,9 @@
             String node,
             Supplier<Optional<RolloutSettings>> settings,
             RolloutStore store,
-            TargetLoads loads) {
+            TargetLoads loads,
+            PauseGuard pauseGuard,
+            BooleanSupplier ordersKnown) {
         this.scheduler = scheduler;
         this.view = view;
         this.log = log;
@@ -83,6 +99,8 @@
         this.settings = settings;
         this.store = store;
         this.loads = loads;
+        this.pauseGuard = pauseGuard;
+        this.ordersKnown = ordersKnown;
     }
 
     /** Starts to examine orders and to share what comes of them with the peers. */
@@ -95,7 +113,11 @@
     /** Replaces the orders by those that the store lists. */
     public void handleOrders(List<RolloutOrder> orders) {
         settings.get().ifPresent(limits -> {
-            rollouts.keySet().retainAll(orders.stream().map(RolloutOrder::pool).toList());
+            List<String> pools = orders.stream().map(RolloutOrder::pool).toList();
+            rollouts.values().stream()
+                    .filter(rollout -> !pools.contains(rollout.order().pool()))
+                    .forEach(this::withhold);
+            rollouts.keySet().retainAll(pools);
             orders.forEach(order -> handleOrder(order, limits));
         });
     }
@@ -109,18 +131,32 @@
             known.update(order);
             return;
         }
+        if (known != null) {
+            withhold(known);
+        }
+        withheld.getOrDefault(order.pool(), new HashSet<>()).remove(order.version());
         Rollout begun = new Rollout(order, limits, node, incarnation, scheduler.nanoTime());
         rollouts.put(order.pool(), begun);
         logStep(GatewayEvent.ROLLOUT_ORDERED, begun, order.state().name());
     }
 
-    private void examine() {
-        long now = scheduler.nanoTime();
-        if (settings.get().isPresent()) {
-            hold.observe(view.directory().softwareVersions(), now);
-            rollouts.values().forEach(rollout -> examine(rollout, now));
+    private void withhold(Rollout ended) {
+        if (ended.state() != RolloutState.COMPLETED) {
+            withheld.computeIfAbsent(ended.order().pool(), _pool -> new HashSet<>())
+                    .add(ended.order().version());
         }
+    }
+
+    private void examine() {
         scheduler.schedule(INTERVAL, this::examine);
+        // After a pause of the process, what peers have told in the meantime is read first.
+        pauseGuard.run(() -> {
+            long now = scheduler.nanoTime();
+            if (settings.get().isPresent()) {
+                hold.observe(view.directory().softwareVersions(), now);
+                rollouts.values().forEach(rollout -> examine(rollout, now));
+            }
+        });
     }
 
     private void examine(Rollout rollout, long now) {
@@ -129,27 +165,39 @@
             logStep(GatewayEvent.ROLLOUT_STEP, rollout, rollout.step().name());
         }
         PeerLinks peers = links;
-        if (peers != null && rollout.takeChanged()) {
+        if (peers != null && rollout.consumeChanged()) {
             peers.broadcast(frame(rollout));
         }
-        RolloutState wanted = rollout.state();
-        RolloutState stored = rollout.order().state();
-        boolean writtenBefore = now - writtenNanos.getOrDefault(rollout.order().pool(), now - WRITE_INTERVAL.toNanos())
-                < WRITE_INTERVAL.toNanos();
-        if (wanted != stored && !stored.last() && !writtenBefore && decides()) {
-            writtenNanos.put(rollout.order().pool(), now);
-            store.write(rollout.order(), wanted);
-        }
+        writeIfDue(rollout, now);
     }
 
-    /** Returns whether this gateway writes: the first by name among those in reach, so that few writes compete. */
-    private boolean decides() {
+    /**
+     * Writes the state that this gateway wants. The first by name among those in reach writes at once; the others wait
+     * in turn, in case the first cannot reach the store.
+     */
+    private void writeIfDue(Rollout rollout, long now) {
+        String pool = rollout.order().pool();
+        RolloutState stored = rollout.order().state();
+        RolloutState wanted = rollout.state();
+        if (wanted == stored || stored.last()) {
+            wantedNanos.remove(pool);
+            return;
+        }
         PeerLinks peers = links;
-        return peers == null || peers.reachable().stream().noneMatch(peer -> peer.compareTo(node) < 0);
+        long earlier = peers == null
+                ? 0
+                : peers.reachable().stream()
+                        .filter(peer -> peer.compareTo(node) < 0)
+                        .limit(MAX_TURNS)
+                        .count();
+        long due = wantedNanos.computeIfAbsent(pool, _pool -> now) + earlier * WRITE_INTERVAL.toNanos();
+        if (now - due >= 0 && store.write(rollout.order(), wanted)) {
+            wantedNanos.put(pool, now + WRITE_INTERVAL.toNanos());
+        }
     }
 
     private int inFlightAtOthers(Rollout rollout) {
-        return view.directory().usable(rollout.order().pool()).stream()
+        return view.directory().all(rollout.order().pool()).stream()
                 .filter(target -> !rollout.isNew(target))
                 .mapToInt(target -> loads.load(target).shared().ownInFlight())
                 .sum();
@@ -171,12 +219,24 @@
         if (rollout != null) {
             return rollout.filter(view.sharingGateways());
         }
-        Set<String> held = hold.held(pool, scheduler.nanoTime());
-        return held.isEmpty()
-                ? VersionFilter.ALL
-                : new VersionFilter(
-                        target -> !held.contains(target.softwareVersion()),
-                        target -> !held.contains(target.softwareVersion()));
+        if (!ordersKnown.getAsBoolean()) {
+            return onlyIfSingle(pool);
+        }
+        Set<String> served = hold.served(pool, scheduler.nanoTime());
+        Set<String> rejected = withheld.getOrDefault(pool, Set.of());
+        Predicate<TargetRecord> may = target -> (served.isEmpty() || served.contains(target.softwareVersion()))
+                && !rejected.contains(target.softwareVersion());
+        return new VersionFilter(may, may);
+    }
+
+    /** Permits a pool of several versions nothing while it is not known whether there is an order. */
+    private VersionFilter onlyIfSingle(String pool) {
+        boolean single = view.directory().usable(pool).stream()
+                        .map(TargetRecord::softwareVersion)
+                        .distinct()
+                        .count()
+                <= 1;
+        return new VersionFilter(_target -> single, _target -> single);
     }
 
     private Stream<Rollout> running(TargetRecord target) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/rollout/VersionHold.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/rollout/VersionHold.java
@@ -36,15 +36,15 @@
         firstSeen.keySet().retainAll(versionsByPool.keySet());
     }
 
-    /** Returns the versions of a pool that are held back; empty if all would be. */
-    Set<String> held(String pool, long nowNanos) {
+    /** Returns the versions of a pool that may serve; empty if none of its versions is held back. */
+    Set<String> served(String pool, long nowNanos) {
         Map<String, Long> known = firstSeen.getOrDefault(pool, Map.of());
-        Set<String> held = new HashSet<>();
+        Set<String> served = new HashSet<>();
         known.forEach((version, seen) -> {
-            if (nowNanos - seen < HOLD.toNanos()) {
-                held.add(version);
+            if (nowNanos - seen >= HOLD.toNanos()) {
+                served.add(version);
             }
         });
-        return held.size() == known.size() ? Set.of() : held;
+        return served;
     }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/settings/GatewaySettings.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/settings/GatewaySettings.java
@@ -73,6 +73,7 @@
                 && readiness.equals(other.readiness)
                 && peer.equals(other.peer)
                 && store.equals(other.store)
-                && metricsPort == other.metricsPort;
+                && metricsPort == other.metricsPort
+                && rollout.isPresent() == other.rollout.isPresent();
     }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageForecast.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageForecast.java
@@ -30,14 +30,22 @@
         Duration unloaded = Duration.ZERO;
         Duration expected = Duration.ZERO;
         Duration backlog = Duration.ZERO;
+        Duration inputWait = Duration.ZERO;
+        Duration inputLifetime = Duration.ofMillis(Long.MAX_VALUE);
         for (int stage = 0; stage < stages.size(); stage++) {
             if (graph.pieces(stage) > 0) {
                 unloaded = max(unloaded, endTime(stage, false));
                 expected = max(expected, endTime(stage, true));
-                backlog = max(backlog, remainingBacklog(stage, startTime(stage, false), false));
+                Duration wait = remainingBacklog(stage, startTime(stage, false), false);
+                backlog = max(backlog, wait);
+                for (int input : stages.get(stage).inputStages()) {
+                    inputWait = max(inputWait, wait);
+                    Duration stored = servers.resultLifetime(stages.get(input).pool());
+                    inputLifetime = stored.compareTo(inputLifetime) < 0 ? stored : inputLifetime;
+                }
             }
         }
-        return new CriticalPathEstimate(unloaded, expected, backlog);
+        return new CriticalPathEstimate(unloaded, expected, backlog, inputWait, inputLifetime);
     }
 
     /** Returns the time from now to the end of a stage, with or without the backlogs of the pools. */
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerRegistry.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerRegistry.java
@@ -92,6 +92,13 @@
                 .orElse(Duration.ZERO);
     }
 
+    /** Returns the time for which the servers of a pool store results. */
+    Duration resultLifetime(String pool) {
+        return spec(pool)
+                .map(spec -> Duration.ofMillis(spec.resultLifetimeMillis()))
+                .orElse(Duration.ZERO);
+    }
+
     /** Returns the pieces that started requests of all gateways still have to submit. */
     StageCommitments commitments() {
         return commitments;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatcher.java
@@ -45,6 +45,7 @@
     private final ConfigurationListener configuration;
     private final TargetListener targets;
     private final ZoneListener zones;
+    private final Optional<RolloutListener> orders;
     private final SharedWatches configurationWatches;
     private final KindWatcher configurationWatcher;
     private final List<KindWatcher> watchers;
@@ -113,13 +114,14 @@
                         GATEWAYS_PAUSE,
                         new GatewayListener(dialect, view, node, onUnlisted, reachability, log),
                         gatewayReads())));
-        rollouts.ifPresent(receiver -> all.add(new KindWatcher(
+        this.orders = rollouts.map(receiver -> new RolloutListener(dialect, receiver, reachability, log));
+        orders.ifPresent(listener -> all.add(new KindWatcher(
                 store,
                 dialect,
                 scheduler,
                 StoreKind.ROLLOUTS,
                 CONFIGURATION_AND_ZONES_PAUSE,
-                new RolloutListener(dialect, receiver, reachability, log),
+                listener,
                 sharedWatches(StoreKind.ROLLOUTS))));
         this.watchers = List.copyOf(all);
     }
@@ -197,7 +199,12 @@
 
     /** Returns whether configuration, targets and zones have been read at least once. */
     public boolean complete() {
-        return view.config() != null && targets.complete() && zones.complete();
+        return view.config() != null && targets.complete() && zones.complete() && ordersComplete();
+    }
+
+    /** Returns whether the orders of roll-outs have been read, or are not read in this deployment. */
+    public boolean ordersComplete() {
+        return orders.map(RolloutListener::complete).orElse(true);
     }
 
     /** Returns whether the last call to the store succeeded. */
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/RolloutListener.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/RolloutListener.java
@@ -17,6 +17,7 @@
     private final StoreDialect dialect;
     private final Consumer<List<RolloutOrder>> receiver;
     private final Map<String, RolloutOrder> orders = new TreeMap<>();
+    private boolean complete;
 
     RolloutListener(
             StoreDialect dialect,
@@ -28,11 +29,17 @@
         this.receiver = receiver;
     }
 
+    /** Returns whether the orders have been read at least once. */
+    boolean complete() {
+        return complete;
+    }
+
     @Override
     public void listed(List<StoreObject> objects, long revision, boolean restored) {
         logIfRestored(revision, restored);
         orders.clear();
         objects.forEach(this::put);
+        complete = true;
         receiver.accept(List.copyOf(orders.values()));
     }
 
