--- a/masticfold-core/src/main/java/io/masticfold/core/admission/PoolAdmission.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/admission/PoolAdmission.java
@@ -22,6 +22,7 @@
     private final WaitingRequests<T> waiting = new WaitingRequests<>();
     private final DrainRate drainRate;
     private final EarlyReturns earlyReturns;
+    private int inFlight;
 
     /** Creates an admission without waiting requests. */
     public PoolAdmission(TimeSource time, RandomGenerator random) {
@@ -34,7 +35,9 @@
     /** Decides on a request that is to be sent; it is queued if the verdict is to wait. */
     public AdmissionVerdict submit(AdmissionRequest<T> request, AdmissionOutlook outlook) {
         AdmissionVerdict verdict = preview(request, outlook);
-        if (verdict instanceof AdmissionVerdict.Wait) {
+        if (verdict instanceof AdmissionVerdict.Send) {
+            inFlight++;
+        } else if (verdict instanceof AdmissionVerdict.Wait) {
             waiting.add(request, earlyReturns.early(request.fingerprint()));
         }
         return verdict;
@@ -64,6 +67,7 @@
         AdmissionVerdict verdict = decide(head.get(), outlook, 0);
         if (verdict instanceof AdmissionVerdict.Send && withinShare(outlook, starts)) {
             waiting.started(head.get());
+            inFlight++;
             return Optional.of(new Decided<>(head.get().handle(), verdict));
         }
         List<AdmissionRequest<T>> ordered = waiting.ordered();
@@ -100,17 +104,24 @@
     }
 
     /**
-     * Returns the time in which the given number of requests is sent. The larger of the observed rate and this
-     * gateway's equal share of the pool applies, so that an underestimate rejects nobody.
+     * Returns the time in which the given number of requests is sent. The largest of three rates applies, so that an
+     * underestimate rejects nobody: the observed one, that of the slots which this gateway has, and that of its equal
+     * share of the slots.
      */
     private Duration drainTime(AdmissionRequest<T> request, AdmissionOutlook outlook, int ahead) {
         long usualNanos = request.usualTime().orElse(Duration.ZERO).toNanos();
-        int slots = outlook.forecast().map(PoolForecast::slots).orElse(0);
-        double share = slots / ((double) Math.max(1, usualNanos) * outlook.gateways());
-        double rate = Math.max(share, drainRate.perNano());
+        double slots = outlook.forecast().map(this::ownSlots).orElse(0.0);
+        double equalShare = outlook.forecast().map(PoolForecast::slots).orElse(0) / (double) outlook.gateways();
+        double rate = Math.max(Math.max(slots, equalShare) / Math.max(1, usualNanos), drainRate.perNano());
         return ahead == 0 || rate <= 0 ? Duration.ZERO : Duration.ofNanos((long) (ahead / rate));
     }
 
+    /** Returns the slots that run requests of this gateway, if they are as likely to run as those of others. */
+    private double ownSlots(PoolForecast forecast) {
+        int atTargets = forecast.running() + forecast.waiting();
+        return atTargets == 0 ? 0 : Math.min(1, inFlight / (double) atTargets) * forecast.running();
+    }
+
     /** Removes a request whose caller has left or that has ended; returns whether it waited. */
     public boolean remove(T handle) {
         return waiting.remove(handle);
@@ -121,6 +132,11 @@
         drainRate.recordAnswer();
     }
 
+    /** Records that a request for which the verdict was to send it has ended. */
+    public void sentEnded() {
+        inFlight--;
+    }
+
     /** Returns the number of waiting requests. */
     public int waiting() {
         return waiting.size();
--- a/masticfold-core/src/test/java/io/masticfold/core/admission/SimulatedPool.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/admission/SimulatedPool.java
@@ -119,6 +119,7 @@
                 (time.nanoTime() <= call.deadlineNanos ? inTime : late).add(call);
                 startAtTarget();
                 admission.recordAnswer();
+                admission.sentEnded();
                 check();
             });
         }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestAdmission.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestAdmission.java
@@ -72,6 +72,7 @@
     /** Leaves the queue, or lets the next waiting request have the place of this one at a target. */
     void end() {
         admission.ended(this, sent);
+        sent = false;
     }
 
     void waitsSince(long nanos) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetAdmission.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetAdmission.java
@@ -91,6 +91,9 @@
             return;
         }
         pool.remove(request);
+        if (sent) {
+            pool.sentEnded();
+        }
         if (sent && pool.waiting() > 0) {
             context.scheduler().schedule(Duration.ZERO, () -> check(pool));
         }
