--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/load/TargetLoads.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/load/TargetLoads.java
@@ -43,8 +43,7 @@
             return known;
         }
         if (loads.size() >= cleanupSize) {
-            loads.entrySet()
-                    .removeIf(entry -> entry.getValue().shared().ownInFlight() == 0 && gone(entry.getKey()));
+            loads.entrySet().removeIf(entry -> entry.getValue().shared().ownInFlight() == 0 && gone(entry.getKey()));
             cleanupSize = Math.max(CLEANUP_SIZE, 2 * loads.size());
         }
         TargetLoad created = new TargetLoad(target);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetPool.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetPool.java
@@ -194,9 +194,7 @@
         // Without news of the peers, they are taken to have as many requests there as this gateway.
         return new PoolLoad(
                 slots,
-                loads.paced(name)
-                        ? known
-                        : Math.max(known, own * context.view().sharingGateways()));
+                loads.paced(name) ? known : Math.max(known, own * context.view().sharingGateways()));
     }
 
     private boolean local(TargetRecord target) {
