Send a status without news as a heartbeat only; encode a broadcast once

Cause: half of an idle gateway's CPU time was spent on status frames, sent to and received from each peer every 100 ms, that repeated the last one. Change: StatusSchedule sends a status with news at the next 100 ms as before and any other every 200 ms, a third of the silence timeout; a new connection and newly queued pieces make the next one go out. A broadcast frame is encoded once (EncodedFrame). The timers of the status and of the connections share a wake-up (TimerGrid).

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/PeerLinks.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/PeerLinks.java
@@ -1,6 +1,7 @@
 package io.masticfold.gateway.peer;
 
 import io.masticfold.core.time.Scheduler;
+import io.masticfold.core.time.TimerGrid;
 import io.masticfold.gateway.peer.proto.PeerFrame;
 import io.masticfold.gateway.protocol.GatewayAddress;
 import io.netty.bootstrap.ServerBootstrap;
@@ -29,10 +30,10 @@
  */
 public final class PeerLinks {
 
-    /** Interval of status frames, which also serve as the heartbeat of a connection. */
+    /** Interval of status frames with news, and of the check of the connections. */
     public static final Duration STATUS_INTERVAL = Duration.ofMillis(100);
 
-    /** Time without a frame after which a connection is closed; several status intervals. */
+    /** Time without a frame after which a connection is closed; several intervals of the heartbeat. */
     static final Duration SILENCE_TIMEOUT = Duration.ofMillis(600);
 
     /** Bounds of the delay before a reconnect attempt. */
@@ -50,6 +51,7 @@
     private final PeerListener listener;
     private final Map<String, PeerLink> links = new HashMap<>();
     private final Set<InboundConnection> inboundConnections = new LinkedHashSet<>();
+    private boolean peerConnected;
 
     /**
      * Creates the connection manager. No connection is opened before {@link #start}.
@@ -114,7 +116,7 @@
                 link.connect(group, now);
             }
         }
-        scheduler.schedule(STATUS_INTERVAL, this::maintain);
+        scheduler.schedule(TimerGrid.delay(scheduler, STATUS_INTERVAL), this::maintain);
     }
 
     private List<GatewayAddress> knownGateways() {
@@ -170,7 +172,19 @@
 
     /** Sends a frame to every peer that has opened a connection to this gateway. */
     public void broadcast(PeerFrame frame) {
-        inboundConnections.forEach(connection -> connection.send(frame));
+        if (inboundConnections.isEmpty()) {
+            return;
+        }
+        try (EncodedFrame encoded = new EncodedFrame(frame)) {
+            inboundConnections.forEach(connection -> connection.send(encoded));
+        }
+    }
+
+    /** Returns whether a peer has opened a connection since the last call. */
+    public boolean takePeerConnected() {
+        boolean connected = peerConnected;
+        peerConnected = false;
+        return connected;
     }
 
     static Duration reconnectDelay(int consecutiveFailures) {
@@ -203,6 +217,7 @@
         public void channelActive(ChannelHandlerContext context) {
             channel = context.channel();
             inboundConnections.add(this);
+            peerConnected = true;
         }
 
         @Override
@@ -221,6 +236,13 @@
             context.close();
         }
 
+        void send(EncodedFrame frame) {
+            Channel open = channel;
+            if (open != null && open.isActive()) {
+                frame.sendTo(open);
+            }
+        }
+
         @Override
         public void send(PeerFrame frame) {
             Channel open = channel;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/OwnedPoolQueues.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/OwnedPoolQueues.java
@@ -28,6 +28,7 @@
     private final GatewayContext context;
     private final Map<String, StagePoolQueue> queues = new HashMap<>();
     private final Map<PeerCaller, PeerDispatchListener> peerListeners = new HashMap<>();
+    private boolean piecesQueued;
 
     OwnedPoolQueues(GatewayContext context) {
         this.context = context;
@@ -35,11 +36,19 @@
 
     /** Adds a piece to the queue of a partition of a pool. */
     void add(String pool, int partition, QueuedPiece piece) {
+        piecesQueued = true;
         queues.computeIfAbsent(
                         StagePartitions.key(pool, partition), _key -> new StagePoolQueue(context, pool, partition))
                 .add(piece);
     }
 
+    /** Returns whether pieces were queued since the last call: their senders wait for a status that counts them. */
+    boolean takePiecesQueued() {
+        boolean queued = piecesQueued;
+        piecesQueued = false;
+        return queued;
+    }
+
     void cancel(DispatchListener listener, long dispatchId) {
         for (StagePoolQueue queue : queues.values()) {
             if (queue.cancel(listener, dispatchId)) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageDispatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageDispatcher.java
@@ -5,9 +5,11 @@
 import io.masticfold.core.retry.RetryBudget;
 import io.masticfold.core.stage.StageServerSelection;
 import io.masticfold.core.stage.StageServerView;
+import io.masticfold.core.time.TimerGrid;
 import io.masticfold.gateway.context.GatewayContext;
 import io.masticfold.gateway.peer.PeerCaller;
 import io.masticfold.gateway.peer.PeerLinks;
+import io.masticfold.gateway.peer.StatusSchedule;
 import io.masticfold.gateway.peer.proto.PeerFrame;
 import io.masticfold.gateway.peer.proto.PeerStatus;
 import io.masticfold.gateway.peer.proto.PieceReply;
@@ -32,6 +34,7 @@
     private final PieceRetryPolicy retryPolicy;
     private final OwnedPoolQueues ownedQueues;
     private final StageServerRegistry servers;
+    private final StatusSchedule statusSchedule;
     private final Map<Long, PieceDispatch> dispatches = new HashMap<>();
     private @Nullable PeerLinks peers;
     private Consumer<PeerStatus.Builder> statusExtension = _status -> {};
@@ -48,6 +51,7 @@
         this.retryPolicy = new PieceRetryPolicy(context, newBudget);
         this.ownedQueues = new OwnedPoolQueues(context);
         this.servers = new StageServerRegistry(context, ownedQueues);
+        this.statusSchedule = new StatusSchedule(context.scheduler());
     }
 
     /**
@@ -65,9 +69,15 @@
     private void broadcastStatus() {
         PeerLinks links = peers;
         if (links != null) {
-            links.broadcast(status());
+            boolean peerConnected = links.takePeerConnected();
+            boolean piecesQueued = ownedQueues.takePiecesQueued();
+            PeerFrame frame = status();
+            if (statusSchedule.send(frame.getStatus(), peerConnected || piecesQueued)) {
+                links.broadcast(frame);
+            }
         }
-        context.scheduler().schedule(PeerLinks.STATUS_INTERVAL, this::broadcastStatus);
+        context.scheduler()
+                .schedule(TimerGrid.delay(context.scheduler(), PeerLinks.STATUS_INTERVAL), this::broadcastStatus);
     }
 
     private PeerFrame status() {
