Let the periodic tasks of an idle gateway share wake-ups

Cause: timers of 50, 100 and 250 ms woke the event loop at times of their own; SharedReads divided a Duration, by way of BigInteger, at each status.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/resume/StreamVersionRegistry.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/resume/StreamVersionRegistry.java
@@ -10,6 +10,7 @@
 import io.masticfold.core.resume.VersionRequirement;
 import io.masticfold.core.telemetry.Telemetry;
 import io.masticfold.core.time.Scheduler;
+import io.masticfold.core.time.TimerGrid;
 import io.masticfold.gateway.log.GatewayEvent;
 import io.masticfold.gateway.log.RateLimitedLog;
 import io.masticfold.gateway.peer.PeerCaller;
@@ -222,7 +223,7 @@
             unwritten = true;
         }
         writeIfDue();
-        scheduler.schedule(SHARE_INTERVAL, this::shareRepeatedly);
+        scheduler.schedule(TimerGrid.delay(scheduler, SHARE_INTERVAL), this::shareRepeatedly);
     }
 
     private void writeIfDue() {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PauseRecovery.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PauseRecovery.java
@@ -2,6 +2,7 @@
 
 import io.masticfold.core.time.PauseGuard;
 import io.masticfold.core.time.Scheduler;
+import io.masticfold.core.time.TimerGrid;
 import io.masticfold.gateway.log.EventLoopMonitor;
 import io.masticfold.gateway.log.GatewayEvent;
 import io.masticfold.gateway.log.RateLimitedLog;
@@ -53,7 +54,7 @@
 
     private void check() {
         guard.passes();
-        scheduler.schedule(CHECK_INTERVAL, this::check);
+        scheduler.schedule(TimerGrid.delay(scheduler, CHECK_INTERVAL), this::check);
     }
 
     private void paused(Duration length) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatcher.java
@@ -6,6 +6,7 @@
 import io.masticfold.core.rollout.RolloutOrder;
 import io.masticfold.core.stage.ServerOwnership;
 import io.masticfold.core.time.Scheduler;
+import io.masticfold.core.time.TimerGrid;
 import io.masticfold.gateway.log.GatewayEvent;
 import io.masticfold.gateway.log.RateLimitedLog;
 import io.masticfold.gateway.peer.proto.KindRead;
@@ -192,7 +193,7 @@
     /** Starts listing and watching. */
     public void start() {
         watchers.forEach(KindWatcher::start);
-        scheduler.schedule(EXPIRY_CHECK, this::expire);
+        scheduler.schedule(TimerGrid.delay(scheduler, EXPIRY_CHECK), this::expire);
     }
 
     /** Returns whether configuration, targets and zones have been read at least once. */
@@ -216,7 +217,7 @@
             targets.publish();
         }
         readIfDue();
-        scheduler.schedule(EXPIRY_CHECK, this::expire);
+        scheduler.schedule(TimerGrid.delay(scheduler, EXPIRY_CHECK), this::expire);
     }
 
     /** Returns the active configuration and accepts newer ones that peers supply. */
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/SharedReads.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/SharedReads.java
@@ -10,7 +10,7 @@
 /** Shares a kind whose objects are written often, with changes that matter seldom: followers make no calls. */
 final class SharedReads extends AbstractSharedReads {
 
-    private final Duration readerInterval;
+    private final Duration minReadAge;
     private final Duration followerInterval;
 
     /**
@@ -29,7 +29,7 @@
             BooleanSupplier reader,
             Function<StoreObject, String> stableContent) {
         super(kind, time, readerInterval, followerInterval, reader, stableContent);
-        this.readerInterval = readerInterval;
+        this.minReadAge = readerInterval.dividedBy(2);
         this.followerInterval = followerInterval;
     }
 
@@ -52,7 +52,7 @@
     @Override
     public boolean readNow(long era, boolean watching) {
         return !watching
-                && schedule().ownReadAge().compareTo(readerInterval.dividedBy(2)) >= 0
+                && schedule().ownReadAge().compareTo(minReadAge) >= 0
                 && delayUntilDue(era).isZero();
     }
 
