Show the CPU time of a gateway's event loop as a metric

Cause: the idle cost of a gateway could be seen only from outside. Change: counter masticfold_event_loop_cpu_seconds_total, from the thread CPU time that EventLoopMonitor reads anyway; its timer runs on the grid.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/log/EventLoopMonitor.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/log/EventLoopMonitor.java
@@ -1,6 +1,7 @@
 package io.masticfold.gateway.log;
 
 import io.masticfold.core.time.Scheduler;
+import io.masticfold.core.time.TimerGrid;
 import java.lang.management.GarbageCollectorMXBean;
 import java.lang.management.ManagementFactory;
 import java.time.Duration;
@@ -15,9 +16,11 @@
     /** Interval of the measurements; a delay that is shorter may be missed. */
     private static final Duration INTERVAL = Duration.ofMillis(100);
 
+    private static final double MILLIS_PER_SECOND = 1000;
+
     private final Scheduler scheduler;
     private final GatewayMetrics metrics;
-    private Activity lastTick = new Activity(0, 0);
+    private volatile Activity lastTick = new Activity(0, 0);
     private long dueNanos;
 
     /** Creates a monitor that does nothing until it is started. */
@@ -28,14 +31,23 @@
 
     /** Starts to measure. */
     public void start() {
+        metrics.counter(
+                "masticfold.event.loop.cpu.seconds",
+                this,
+                monitor -> monitor.lastTick.processorMillis() / MILLIS_PER_SECOND);
+        measure();
+    }
+
+    private void measure() {
         lastTick = total();
-        dueNanos = scheduler.nanoTime() + INTERVAL.toNanos();
-        scheduler.schedule(INTERVAL, this::tick);
+        Duration delay = TimerGrid.delay(scheduler, INTERVAL);
+        dueNanos = scheduler.nanoTime() + delay.toNanos();
+        scheduler.schedule(delay, this::tick);
     }
 
     private void tick() {
         metrics.loopDelay(Math.max(0, scheduler.nanoTime() - dueNanos));
-        start();
+        measure();
     }
 
     /** Returns what the process has done since the last measurement, at most {@code INTERVAL} before a delay began. */
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayMetrics.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayMetrics.java
@@ -3,6 +3,7 @@
 import io.masticfold.core.error.ErrorKind;
 import io.masticfold.core.telemetry.Telemetry;
 import io.masticfold.platform.metrics.MicrometerTelemetry;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -12,6 +13,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.function.ToDoubleFunction;
 import java.util.stream.LongStream;
 
 /** Records the metrics of the gateway. Tag values are pool names or come from fixed sets, which bounds their number. */
@@ -74,6 +76,16 @@
         Gauge.builder(name, value).register(registry);
     }
 
+    /**
+     * Registers a counter that is read at each scrape.
+     *
+     * @param source holds the value; is not kept alive by the registration
+     * @param value reads the value, which never falls
+     */
+    <T> void counter(String name, T source, ToDoubleFunction<T> value) {
+        FunctionCounter.builder(name, source, value).register(registry);
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     public String page() {
         return registry.scrape();
