--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/log/EventLoopMonitor.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/log/EventLoopMonitor.java
@@ -1,6 +1,7 @@
 package io.masticfold.gateway.log;
 
 import io.masticfold.core.time.Scheduler;
+import io.masticfold.core.time.TimerGrid;
 import java.lang.management.GarbageCollectorMXBean;
 import java.lang.management.ManagementFactory;
 import java.time.Duration;
@@ -15,9 +16,11 @@
     /** Interval of the measurements; a delay that is shorter may be missed. */
     private static final Duration INTERVAL = Duration.ofMillis(100);
 
+    private static final double MILLIS_PER_SECOND = 1000;
+
     private final Scheduler scheduler;
     private final GatewayMetrics metrics;
-    private Activity lastTick = new Activity(0, 0);
+    private volatile Activity lastTick = new Activity(0, 0);
     private long dueNanos;
     private Duration delay = Duration.ZERO;
     private boolean started;
@@ -31,16 +34,25 @@
     /** Starts to measure. */
     public void start() {
         started = true;
+        metrics.counter(
+                "masticfold.event.loop.cpu.seconds",
+                this,
+                monitor -> monitor.lastTick.processorMillis() / MILLIS_PER_SECOND);
+        measure();
+    }
+
+    private void measure() {
         lastTick = total();
-        dueNanos = scheduler.nanoTime() + INTERVAL.toNanos();
-        scheduler.schedule(INTERVAL, this::tick);
+        Duration next = TimerGrid.delay(scheduler, INTERVAL);
+        dueNanos = scheduler.nanoTime() + next.toNanos();
+        scheduler.schedule(next, this::tick);
     }
 
     private void tick() {
         long lateNanos = Math.max(0, scheduler.nanoTime() - dueNanos);
         delay = Duration.ofNanos(lateNanos);
         metrics.loopDelay(lateNanos);
-        start();
+        measure();
     }
 
     /** Returns by how much tasks are late, at the last measurement or by now if the next one is overdue. */
