Place engines by prompt tokens again, with the load of all gateways and the pace

Change: EnginePlacement as before, with requests and unread tokens of all gateways where they tell each other, weighted by the reported pace. Plain services stay placed by expected time.

--- a/masticfold-core/src/main/java/io/masticfold/core/placement/EnginePlacement.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/placement/EnginePlacement.java
@@ -83,14 +83,18 @@
                 .max(Comparator.comparingLong(engine -> RendezvousHashing.weight(prompt.hash(), engine.id())));
     }
 
-    /** Returns the prompt tokens to process before the first output token of a request, plus the penalties. */
+    /**
+     * Returns the prompt tokens to process before the first output token of a request, weighted by the engine's pace,
+     * plus the penalties.
+     */
     static long cost(TargetLoadView engine, PromptPrefix prompt, boolean cachesPrefix) {
         int running = Math.max(engine.inFlight(), engine.reportedRunning());
         long uncachedTokens = prompt.totalTokens() - (cachesPrefix ? prompt.prefixTokens() : 0);
-        return uncachedTokens
+        long work = uncachedTokens
                 + engine.queuedTokens()
                 + running * RUNNING_REQUEST_COST_TOKENS
-                + engine.reportedWaiting() * WAITING_REQUEST_COST_TOKENS
+                + engine.reportedWaiting() * WAITING_REQUEST_COST_TOKENS;
+        return (long) (work * engine.pace())
                 + (engine.recentlyFailed() ? RECENT_FAILURE_COST_TOKENS : 0)
                 + (engine.sameZone() ? 0 : CROSS_ZONE_COST_TOKENS);
     }
--- a/masticfold-core/src/main/java/io/masticfold/core/placement/SharedTargetLoad.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/placement/SharedTargetLoad.java
@@ -136,12 +136,13 @@
      */
     public double slowdown(long nowNanos) {
         double observed = Math.max(MIN_SLOWDOWN, Math.min(MAX_SLOWDOWN, slowdown.value(nowNanos)));
+        return Math.max(observed, pace(nowNanos) > USUAL_PACE ? pace(nowNanos) : observed);
+    }
+
+    /** Returns the reported pace, which approaches the usual one of 1 with the age of the report. */
+    public double pace(long nowNanos) {
         double weight = paceReported ? 1 - (double) (nowNanos - paceNanos) / MAX_PACE_AGE.toNanos() : 0;
-        if (weight <= 0) {
-            return observed;
-        }
-        double current = USUAL_PACE + (pace - USUAL_PACE) * Math.min(1, weight);
-        return current > USUAL_PACE ? Math.max(observed, current) : observed;
+        return weight <= 0 ? USUAL_PACE : USUAL_PACE + (pace - USUAL_PACE) * Math.min(1, weight);
     }
 
     /** What a peer has at the target. */
--- a/masticfold-core/src/test/java/io/masticfold/core/placement/EnginePlacementTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/placement/EnginePlacementTests.java
@@ -20,7 +20,7 @@
     }
 
     private static TargetLoadView view(String id, String zone, long queuedTokens, boolean suspect) {
-        return new TargetLoadView(engine(id, zone), 0, queuedTokens, 0, 0, true, suspect);
+        return new TargetLoadView(engine(id, zone), 0, queuedTokens, 0, 0, true, suspect, 1);
     }
 
     private static List<TargetLoadView> engines() {
@@ -91,4 +91,21 @@
         assertThat(EnginePlacement.prefersCachedPrompt(shortPrompt, 7_500_000)).isFalse();
         assertThat(EnginePlacement.prefersCachedPrompt(LONG, 7_500_000)).isTrue();
     }
+
+    /** Load: another workload on the machine of the engine that caches a prefix slows it down for a moment. */
+    @Test
+    void requestLeavesItsEngineOnlyIfThatIsSlowerThanReadingThePrefixElsewhere() {
+        String cachedAt = choose(engines(), LONG, Map.of());
+
+        assertThat(choose(withPace(cachedAt, 2.5), LONG, Map.of())).isEqualTo(cachedAt);
+        assertThat(choose(withPace(cachedAt, 6), LONG, Map.of())).isNotEqualTo(cachedAt);
+    }
+
+    private static List<TargetLoadView> withPace(String id, double pace) {
+        return engines().stream()
+                .map(view -> view.target().id().equals(id)
+                        ? new TargetLoadView(view.target(), 0, 0, 0, 0, true, false, pace)
+                        : view)
+                .toList();
+    }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetPool.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetPool.java
@@ -70,7 +70,7 @@
             int gateways) {
         long now = context.scheduler().nanoTime();
         List<TargetTracker> candidates = sendable(spec, excluded, gateways, now);
-        Optional<TargetTracker> choice = loads.paced(name)
+        Optional<TargetTracker> choice = loads.paced(name) && spec.engine() == null
                 ? chooseByTime(candidates, request(routed, resultBytes), now)
                 : chooseByLoad(spec, candidates, routed.prompt(), resultBytes, now);
         return choice;
@@ -104,7 +104,7 @@
             Map<String, Long> resultBytes,
             long now) {
         List<TargetLoadView> views = candidates.stream()
-                .map(state -> state.view(local(state.target()), now))
+                .map(state -> state.view(local(state.target()), loads.paced(name), now))
                 .toList();
         Optional<TargetLoadView> choice = spec.engine() == null
                 ? LeastLoadedPlacement.choose(views)
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetTracker.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetTracker.java
@@ -1,6 +1,7 @@
 package io.masticfold.gateway.request;
 
 import io.masticfold.core.directory.TargetRecord;
+import io.masticfold.core.placement.SharedTargetLoad;
 import io.masticfold.core.placement.TargetCandidate;
 import io.masticfold.core.placement.TargetLoadView;
 import io.masticfold.gateway.load.TargetLoad;
@@ -73,16 +74,23 @@
         return sends.size();
     }
 
-    TargetLoadView view(boolean sameZone, long nowNanos) {
+    /**
+     * Returns the load for a placement by load.
+     *
+     * @param shared whether gateways tell each other what they have at the targets of this pool
+     */
+    TargetLoadView view(boolean sameZone, boolean shared, long nowNanos) {
         boolean fresh = fresh(nowNanos);
+        SharedTargetLoad known = load.shared();
         return new TargetLoadView(
                 target,
-                load.shared().ownInFlight(),
-                load.shared().ownQueuedTokens(),
+                shared ? known.inFlight() : known.ownInFlight(),
+                shared ? known.queuedTokens() : known.ownQueuedTokens(),
                 fresh ? report.running() : 0,
                 fresh ? report.waiting() : 0,
                 sameZone,
-                suspect(nowNanos));
+                suspect(nowNanos),
+                shared ? known.pace(nowNanos) : 1);
     }
 
     /** Returns the target as a candidate for placement by expected time. */
