Examine due reads of the store once for all statuses that arrive within 20 ms

Cause: each status of a peer made a gateway examine for every kind of object whether a read is due, over all peers. The Flight Recorder of 16 gateways with stand-ins in one JVM, without compiler, found 27 % of the event loops' time there.

Change: the statuses that arrive within 20 ms are examined together, and the state of a read is compared by its two numbers.

--- a/masticfold-core/src/main/java/io/masticfold/core/directory/SharedReadSchedule.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/directory/SharedReadSchedule.java
@@ -78,7 +78,7 @@
         long outdated = 2 * followerInterval.toNanos();
         peerReads.values().removeIf(read -> now - read.nanos() > outdated);
         for (PeerRead read : peerReads.values()) {
-            if (!read.state().equals(own) && read.nanos() - ownReadNanos > 0) {
+            if (!read.state().same(own) && read.nanos() - ownReadNanos > 0) {
                 // The peer has read a change that this gateway does not know.
                 return Duration.ZERO;
             }
@@ -95,7 +95,7 @@
     public OptionalLong confirmedNanos(ReadState own) {
         OptionalLong latest = ownReadRecorded ? OptionalLong.of(ownReadNanos) : OptionalLong.empty();
         for (PeerRead read : peerReads.values()) {
-            if (read.state().equals(own) && (latest.isEmpty() || read.nanos() - latest.getAsLong() > 0)) {
+            if (read.state().same(own) && (latest.isEmpty() || read.nanos() - latest.getAsLong() > 0)) {
                 latest = OptionalLong.of(read.nanos());
             }
         }
@@ -108,7 +108,13 @@
      * @param era era of the store in which it was read
      * @param digest digest of the objects, without what their writers change at each write
      */
-    public record ReadState(long era, long digest) {}
+    public record ReadState(long era, long digest) {
+
+        /** As {@link #equals}, which costs several times as much in a process that has just started. */
+        boolean same(ReadState other) {
+            return era == other.era && digest == other.digest;
+        }
+    }
 
     private record PeerRead(ReadState state, long nanos) {}
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatcher.java
@@ -39,6 +39,12 @@
     /** Interval at which expired entries are removed and overdue reads are made. */
     private static final Duration EXPIRY_CHECK = Duration.ofMillis(250);
 
+    /**
+     * Time for which the statuses of peers are collected before it is examined whether a read is due. Examining it for
+     * each status took a quarter of an event loop's time with sixteen gateways.
+     */
+    private static final Duration READ_CHECK_DELAY = Duration.ofMillis(20);
+
     private final Scheduler scheduler;
     private final PlatformView view;
     private final TargetTable table;
@@ -53,6 +59,7 @@
     private final String node;
     private final RateLimitedLog log;
     private Supplier<List<String>> reachablePeers = List::of;
+    private boolean readCheckScheduled;
 
     /**
      * Creates the watchers of all kinds.
@@ -177,8 +184,12 @@
         for (KindRead read : status.getReadsList()) {
             watchers.forEach(watcher -> watcher.plan().recordPeerRead(peer, read));
         }
-        if (status.getReadsCount() > 0) {
-            readIfDue();
+        if (status.getReadsCount() > 0 && !readCheckScheduled) {
+            readCheckScheduled = true;
+            scheduler.schedule(READ_CHECK_DELAY, () -> {
+                readCheckScheduled = false;
+                readIfDue();
+            });
         }
     }
 
