Judge roll-outs by Fisher's exact test, and stop sends at fifty bad responses

The binomial test took the old version's rate as exact. If the old version has hardly answered, an assumed sample of one bad response in twenty is added, so that a failing version is not completed for want of a comparison.

A gateway that knows of 50 bad responses sends nothing more to the version, also without a verdict (RolloutStep.STOP); such an order is rolled back at 92 % of its time. The count is checked with each bad response.

A send that its caller or a hedge ends before its response counts as slow once it has lasted longer than a slow response takes. It was not counted.

Rollouts is split: RolloutWriter decides when to write, UsualTimes what is slow. Peer frames are unchanged.

--- a/masticfold-core/src/main/java/io/masticfold/core/rollout/RolloutPolicy.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/rollout/RolloutPolicy.java
@@ -8,7 +8,7 @@
  * once or later, on one route only or under load, beside an old version that has troubles of its own.
  *
  * <p>The new version gets a small share of the requests for the first part of the time. Its bad responses are compared
- * with those of the old version on the same route and over the same time by a one-sided exact binomial test. A sound
+ * with those of the old version on the same route and over the same time by Fisher's one-sided exact test. A sound
  * version then gets all requests, so that nothing runs at the old targets when the order is completed.
  */
 public final class RolloutPolicy {
@@ -19,10 +19,17 @@
      */
     static final double FALSE_ALARM_PROBABILITY = 1e-5;
 
-    /** Bad responses of the old version that are assumed in addition, so that few of its requests prove nothing. */
-    private static final double ASSUMED_OLD_BAD = 1;
+    /**
+     * Sample that is added to that of the old version if it has hardly answered, for instance because its targets are
+     * down. The stated false alarm probability then holds for sound versions with at most one bad response in twenty.
+     */
+    private static final VersionCounts ASSUMED_OLD = new VersionCounts(20, 19, 1, 0);
 
-    private static final double ASSUMED_OLD_ENDED = 20;
+    /**
+     * Bad responses of the new version, at all gateways, after which it gets no more requests, whether or not the test
+     * takes it for bad. Operators bound the requests that are sent after this number.
+     */
+    static final int MAX_BAD = 50;
 
     /** Fewest bad responses for a verdict; two may have the same cause. */
     private static final int MIN_BAD = 4;
@@ -63,6 +70,9 @@
             return RolloutStep.ROLL_BACK;
         }
         double fraction = duration.isZero() ? 1 : (double) elapsed.toNanos() / duration.toNanos();
+        if (hasReachedMaxBad(newCounts)) {
+            return fraction < UNDECIDED_FRACTION ? RolloutStep.STOP : RolloutStep.ROLL_BACK;
+        }
         long ended = newCounts.values().stream().mapToLong(VersionCounts::ended).sum();
         if (ended < MIN_ENDED) {
             return fraction < UNDECIDED_FRACTION ? RolloutStep.EXPOSE : RolloutStep.ROLL_BACK;
@@ -91,14 +101,21 @@
             allNew = allNew.plus(route.getValue());
             allOld = allOld.plus(before);
         }
-        return (allOld.ended() >= MIN_ENDED || allNew.bad() >= MIN_ENDED) && isWorse(allNew, allOld);
+        return isWorse(allNew, allOld.ended() < MIN_ENDED ? allOld.plus(ASSUMED_OLD) : allOld);
+    }
+
+    /**
+     * Returns whether the new version has given so many bad responses that it gets no more requests without a verdict.
+     *
+     * @param newCounts counts of the new version by route
+     */
+    public static boolean hasReachedMaxBad(Map<String, VersionCounts> newCounts) {
+        return newCounts.values().stream().mapToLong(VersionCounts::bad).sum() >= MAX_BAD;
     }
 
     private static boolean isWorse(VersionCounts newCounts, VersionCounts oldCounts) {
-        if (newCounts.bad() < MIN_BAD) {
-            return false;
-        }
-        double oldRate = (oldCounts.bad() + ASSUMED_OLD_BAD) / (oldCounts.ended() + ASSUMED_OLD_ENDED);
-        return BinomialTest.upperTail(newCounts.bad(), newCounts.ended(), oldRate) < FALSE_ALARM_PROBABILITY;
+        return newCounts.bad() >= MIN_BAD
+                && FisherTest.upperTail(newCounts.bad(), newCounts.ended(), oldCounts.bad(), oldCounts.ended())
+                        < FALSE_ALARM_PROBABILITY;
     }
 }
--- a/masticfold-core/src/main/java/io/masticfold/core/rollout/RolloutStep.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/rollout/RolloutStep.java
@@ -6,6 +6,8 @@
     EXPOSE,
     /** All new requests go to the new version; what runs at the others ends. */
     MOVE,
+    /** The new version gets nothing until the order ends; it is not known to be worse than the others. */
+    STOP,
     /** The order is completed. */
     COMPLETE,
     /** The new version gets nothing more. */
--- a/masticfold-core/src/test/java/io/masticfold/core/rollout/RolloutPolicyTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/rollout/RolloutPolicyTests.java
@@ -1,7 +1,7 @@
 package io.masticfold.core.rollout;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.assertj.core.api.Assertions.within;
+import static org.assertj.core.api.Assertions.withinPercentage;
 
 import java.time.Duration;
 import java.util.HashMap;
@@ -117,9 +117,58 @@
         }
     }
 
+    /** Expected values: quotients of binomial coefficients, computed independently. */
     @ParameterizedTest
-    @CsvSource({"0, 10, 0.1, 1.0", "1, 10, 0.1, 0.6513", "5, 10, 0.5, 0.6230", "10, 10, 0.5, 0.000977"})
-    void upperTailOfTheBinomialDistribution(long successes, long trials, double probability, double expected) {
-        assertThat(BinomialTest.upperTail(successes, trials, probability)).isCloseTo(expected, within(1e-4));
+    @CsvSource({
+        "0, 10, 3, 10, 1.0",
+        "4, 4, 0, 10, 9.9900e-4",
+        "7, 7, 1, 20, 9.0087e-6",
+        "3, 4, 1, 4, 0.242857",
+        "10, 10, 0, 10, 5.4125e-6",
+        "5, 5, 5, 5, 1.0",
+    })
+    void upperTailOfTheHypergeometricDistribution(long bad, long size, long otherBad, long otherSize, double expected) {
+        assertThat(FisherTest.upperTail(bad, size, otherBad, otherSize)).isCloseTo(expected, withinPercentage(0.01));
+    }
+
+    /**
+     * Guards against taking the rate of few old responses as exact. Sums the probabilities of all outcomes of two
+     * versions that are equally bad for which the new one is taken for worse.
+     */
+    @ParameterizedTest
+    @CsvSource({"100, 30, 0.3", "60, 10, 0.5", "200, 100, 0.05", "100, 400, 0.02"})
+    void falseAlarmsAreAsRareAsStatedForSmallSamplesOfTheOldVersion(int fresh, int old, double badRate) {
+        double alarms = 0;
+        for (int freshBad = 0; freshBad < RolloutPolicy.MAX_BAD; freshBad++) {
+            for (int oldBad = 0; oldBad <= old && freshBad <= fresh; oldBad++) {
+                if (RolloutPolicy.isBad(
+                        route("r", fresh - freshBad, freshBad, 0), route("r", old - oldBad, oldBad, 0))) {
+                    alarms += probability(freshBad, fresh, badRate) * probability(oldBad, old, badRate);
+                }
+            }
+        }
+        assertThat(alarms).isLessThanOrEqualTo(RolloutPolicy.FALSE_ALARM_PROBABILITY);
+    }
+
+    private static double probability(int bad, int size, double badRate) {
+        double product = 1;
+        for (int k = 1; k <= bad; k++) {
+            product *= (double) (size - bad + k) / k * badRate;
+        }
+        return product * Math.pow(1 - badRate, size - bad);
+    }
+
+    /** Load: a fault of both versions, which gives no verdict; the operators' bound on bad responses holds all the same. */
+    @ParameterizedTest
+    @CsvSource({"0.2, 49, EXPOSE", "0.2, 50, STOP", "0.7, 50, STOP", "0.85, 50, STOP", "0.92, 50, ROLL_BACK"})
+    void fiftiethBadResponseStopsSendsWithoutAVerdict(double fraction, long bad, RolloutStep expected) {
+        assertThat(decide(fraction, route("r", 60, bad - 10, 10), route("r", 600, 300, 100), true))
+                .isEqualTo(expected);
+    }
+
+    /** Guards against completing a version that only fails because nothing of the old one answers beside it. */
+    @Test
+    void failingVersionIsRolledBackWithoutResponsesOfTheOldOne() {
+        assertThat(decide(0.7, route("r", 0, 12, 0), Map.of(), true)).isEqualTo(RolloutStep.ROLL_BACK);
     }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -288,6 +288,12 @@
         services.rollouts().recordAnswer(target.target(), routed.route().name(), tokens, took, warm);
     }
 
+    /** Called when a send was cancelled before its target had answered, or had sent the first event of a stream. */
+    void cancelledBeforeAnswer(TargetTracker target, long tokens, Duration lasted) {
+        boolean warm = target.warmFor(lasted, context.scheduler().nanoTime());
+        services.rollouts().recordCancelled(target.target(), routed.route().name(), tokens, lasted, warm);
+    }
+
     void targetFailed(TargetTracker target, boolean nowSuspect) {
         services.rollouts().recordFailed(target.target(), routed.route().name());
         if (nowSuspect) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
@@ -36,6 +36,7 @@
     private boolean firstTokenRecorded;
     private int inFlightBefore;
     private long sentNanos;
+    private boolean expired;
     private boolean ended;
 
     /**
@@ -97,8 +98,13 @@
         if (ended) {
             return true;
         }
+        boolean unanswered = !firstTokenRecorded && !expired;
         markEnded();
-        return exchange.cancel();
+        boolean left = exchange.cancel();
+        if (left && unanswered) {
+            run.cancelledBeforeAnswer(target, tokens, sinceSent());
+        }
+        return left;
     }
 
     @Override
@@ -277,6 +283,7 @@
     boolean expired() {
         boolean silent = !ended && response == null;
         if (silent) {
+            expired = true;
             target.load().failed(context.scheduler().nanoTime());
         }
         return silent;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/rollout/Rollout.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/rollout/Rollout.java
@@ -32,6 +32,7 @@
     private long begunRevision;
     private RolloutOrder order;
     private RolloutStep step;
+    private RolloutStep examinedStep;
     private boolean ownMoved;
     private boolean changed = true;
 
@@ -39,6 +40,7 @@
         this.order = order;
         this.begunRevision = order.revision();
         this.step = storedStep(order.state(), RolloutStep.EXPOSE);
+        this.examinedStep = step;
         this.self = self;
         this.incarnation = incarnation;
         this.startNanos = nowNanos;
@@ -78,7 +80,7 @@
         return switch (step) {
             case COMPLETE -> RolloutState.COMPLETED;
             case ROLL_BACK -> RolloutState.ROLLED_BACK;
-            case EXPOSE, MOVE -> RolloutState.RUNNING;
+            case EXPOSE, MOVE, STOP -> RolloutState.RUNNING;
         };
     }
 
@@ -94,7 +96,7 @@
             case EXPOSE -> limit.permits(gateways) ? newFirst : onlyOthers;
             case MOVE -> ownMoved ? onlyNew : newFirst;
             case COMPLETE -> onlyNew;
-            case ROLL_BACK -> onlyOthers;
+            case STOP, ROLL_BACK -> onlyOthers;
         };
     }
 
@@ -106,6 +108,17 @@
     void count(TargetRecord target, String route, VersionCounts more) {
         evidence.add(source(self, incarnation), new VersionRoute(target.softwareVersion(), route), more);
         changed = true;
+        if (isNew(target) && more.bad() > 0) {
+            stopAtMaxBad();
+        }
+    }
+
+    /** Stops sends at once, since many requests may be sent until the order is examined next. */
+    private void stopAtMaxBad() {
+        boolean sends = step == RolloutStep.EXPOSE || step == RolloutStep.MOVE;
+        if (sends && RolloutPolicy.hasReachedMaxBad(evidence.byRoute(order.version(), true))) {
+            step = RolloutStep.STOP;
+        }
     }
 
     /**
@@ -113,26 +126,26 @@
      *
      * @param inFlightAtOthers requests of this gateway that run at other versions
      * @param peers gateways that are listed, besides this one
-     * @return whether the step has changed
+     * @return whether the step has changed since the last call
      */
     boolean advance(long nowNanos, int inFlightAtOthers, Collection<String> peers) {
         boolean movedNow = step == RolloutStep.MOVE && inFlightAtOthers == 0;
         changed |= movedNow != ownMoved;
         ownMoved = movedNow;
-        if (order.state().last() || step == RolloutStep.ROLL_BACK) {
-            return false;
+        if (!order.state().last() && step != RolloutStep.ROLL_BACK) {
+            RolloutStep next = RolloutPolicy.decide(
+                    Duration.ofNanos(nowNanos - startNanos),
+                    order.duration(),
+                    evidence.byRoute(order.version(), true),
+                    evidence.byRoute(order.version(), false),
+                    ownMoved && movedPeers.containsAll(peers));
+            // Completion is taken back only for a version that turns out bad before the state is stored.
+            step = step != RolloutStep.COMPLETE || foundBad() ? next : step;
         }
-        RolloutStep next = RolloutPolicy.decide(
-                Duration.ofNanos(nowNanos - startNanos),
-                order.duration(),
-                evidence.byRoute(order.version(), true),
-                evidence.byRoute(order.version(), false),
-                ownMoved && movedPeers.containsAll(peers));
-        // Completion is taken back only for a version that turns out bad before the state is stored.
-        boolean steps = next != step && (step != RolloutStep.COMPLETE || next == RolloutStep.ROLL_BACK);
-        step = steps ? next : step;
+        boolean steps = step != examinedStep;
+        examinedStep = step;
         changed |= steps;
-        return steps;
+        return steps && !order.state().last();
     }
 
     /** Returns the number of bad responses of the new version and of its requests that have ended. */
@@ -198,6 +211,7 @@
         if (status.getStopped() && !order.state().last()) {
             step = RolloutStep.ROLL_BACK;
         }
+        stopAtMaxBad();
     }
 
     void forgetPeer(String peer) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/rollout/Rollouts.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/rollout/Rollouts.java
@@ -1,7 +1,6 @@
 package io.masticfold.gateway.rollout;
 
 import io.masticfold.core.directory.TargetRecord;
-import io.masticfold.core.placement.ServiceTimeModel;
 import io.masticfold.core.rollout.RolloutOrder;
 import io.masticfold.core.rollout.RolloutSettings;
 import io.masticfold.core.rollout.RolloutState;
@@ -41,31 +40,19 @@
     /** Interval at which orders are examined and peers are told of changes. */
     private static final Duration INTERVAL = Duration.ofMillis(200);
 
-    /** Interval between two writes of the same state, longer than a write takes whose answer arrives. */
-    private static final Duration WRITE_INTERVAL = Duration.ofMillis(1200);
-
-    /** Gateways that may write before this one; later ones write at the same time, and the store takes one of them. */
-    private static final int MAX_TURNS = 3;
-
-    /** Factor over the usual time above which an answer counts as slow; bad versions are several times slower. */
-    private static final double SLOW_FACTOR = 2.5;
-
-    private static final double NANOS_PER_MILLI = 1e6;
-
     private final Scheduler scheduler;
     private final PlatformView view;
     private final RateLimitedLog log;
     private final Telemetry telemetry;
     private final String node;
     private final Supplier<Optional<RolloutSettings>> settings;
-    private final RolloutStore store;
+    private final RolloutWriter writer;
     private final TargetLoads loads;
     private final PauseGuard pauseGuard;
     private final BooleanSupplier ordersKnown;
     private final VersionHold hold = new VersionHold();
     private final Map<String, Rollout> rollouts = new HashMap<>();
-    private final Map<String, ServiceTimeModel> usualTimes = new HashMap<>();
-    private final Map<String, Long> wantedNanos = new HashMap<>();
+    private final UsualTimes usualTimes = new UsualTimes();
 
     /** Versions by pool whose order has not been completed; they get nothing until they are ordered again. */
     private final Map<String, Set<String>> withheld = new HashMap<>();
@@ -97,7 +84,7 @@
         this.telemetry = telemetry;
         this.node = node;
         this.settings = settings;
-        this.store = store;
+        this.writer = new RolloutWriter(store, node);
         this.loads = loads;
         this.pauseGuard = pauseGuard;
         this.ordersKnown = ordersKnown;
@@ -168,32 +155,7 @@
         if (peers != null && rollout.consumeChanged()) {
             peers.broadcast(frame(rollout));
         }
-        writeIfDue(rollout, now);
-    }
-
-    /**
-     * Writes the state that this gateway wants. The first by name among those in reach writes at once; the others wait
-     * in turn, in case the first cannot reach the store.
-     */
-    private void writeIfDue(Rollout rollout, long now) {
-        String pool = rollout.order().pool();
-        RolloutState stored = rollout.order().state();
-        RolloutState wanted = rollout.state();
-        if (wanted == stored || stored.last()) {
-            wantedNanos.remove(pool);
-            return;
-        }
-        PeerLinks peers = links;
-        long earlier = peers == null
-                ? 0
-                : peers.reachable().stream()
-                        .filter(peer -> peer.compareTo(node) < 0)
-                        .limit(MAX_TURNS)
-                        .count();
-        long due = wantedNanos.computeIfAbsent(pool, _pool -> now) + earlier * WRITE_INTERVAL.toNanos();
-        if (now - due >= 0 && store.write(rollout.order(), wanted)) {
-            wantedNanos.put(pool, now + WRITE_INTERVAL.toNanos());
-        }
+        writer.writeIfDue(rollout, peers == null ? Set.of() : peers.reachable(), now);
     }
 
     private int inFlightAtOthers(Rollout rollout) {
@@ -257,16 +219,27 @@
      */
     public void recordAnswer(TargetRecord target, String route, long tokens, Duration took, boolean warm) {
         running(target).forEach(rollout -> {
-            ServiceTimeModel usual = usualTimes.computeIfAbsent(route, _route -> new ServiceTimeModel());
-            double millis = took.toNanos() / NANOS_PER_MILLI;
-            boolean slow = warm && usual.known() && millis > SLOW_FACTOR * usual.millis(tokens);
+            boolean slow = warm && usualTimes.slow(route, tokens, took);
             rollout.count(target, route, new VersionCounts(0, slow ? 0 : 1, 0, slow ? 1 : 0));
             if (!rollout.isNew(target)) {
-                usual.record(tokens, millis);
+                usualTimes.record(route, tokens, took);
             }
         });
     }
 
+    /**
+     * Records a send that was ended before its answer, by its caller or since another send was answered first. It
+     * counts as slow if it has lasted longer than a slow answer takes, and not at all otherwise.
+     *
+     * @param tokens prompt tokens that the target had to read first
+     * @param warm whether the target was warm
+     */
+    public void recordCancelled(TargetRecord target, String route, long tokens, Duration lasted, boolean warm) {
+        if (warm && usualTimes.slow(route, tokens, lasted)) {
+            running(target).forEach(rollout -> rollout.count(target, route, new VersionCounts(0, 0, 0, 1)));
+        }
+    }
+
     /** Records a request that failed at a target. */
     public void recordFailed(TargetRecord target, String route) {
         running(target).forEach(rollout -> rollout.count(target, route, new VersionCounts(0, 0, 1, 0)));
