--- a/masticfold-core/src/main/java/io/masticfold/core/forward/ForwardConfig.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/forward/ForwardConfig.java
@@ -17,6 +17,9 @@
     private final long version;
     private final RequestLimits limits;
     private final CallerAuthentication authentication;
+    private final List<ForwardRoute> routes;
+    private final List<PoolSpec> configuredPools;
+    private final List<WorkspaceSpec> workspaces;
     private final Map<String, PoolSpec> pools;
     private final Map<String, List<ForwardRoute>> routesByHost;
     private final Map<String, WorkspaceSpec> workspacesByKey;
@@ -41,6 +44,9 @@
         this.version = version;
         this.authentication = authentication;
         this.limits = limits;
+        this.routes = List.copyOf(routes);
+        this.configuredPools = List.copyOf(pools);
+        this.workspaces = List.copyOf(workspaces);
         this.pools = new HashMap<>();
         pools.forEach(pool -> this.pools.put(pool.name(), pool));
         this.routesByHost = new HashMap<>();
@@ -64,6 +70,26 @@
         return limits;
     }
 
+    /** Returns whether requests need an API key. */
+    public CallerAuthentication authentication() {
+        return authentication;
+    }
+
+    /** Returns all routes in the order in which they are configured. */
+    public List<ForwardRoute> routes() {
+        return routes;
+    }
+
+    /** Returns all pools in the order in which they are configured; of several with one name, the last one applies. */
+    public List<PoolSpec> configuredPools() {
+        return configuredPools;
+    }
+
+    /** Returns all workspaces in the order in which they are configured. */
+    public List<WorkspaceSpec> workspaces() {
+        return workspaces;
+    }
+
     /** Returns the pool of a name. */
     public Optional<PoolSpec> pool(String name) {
         return Optional.ofNullable(pools.get(name));
