Count bodies, buffered responses and unsent output of callers, and shed slow readers

Cause: a gateway limited bodies and unsent output for each connection only, and buffered responses apart from both; bodies and callers that do not read could use up the heap and the direct memory together. Change: the connections of callers use the memory account. A request with a body is answered 503, not run, before its body is read when its workspace holds too much or the account is full; reading pauses before it is full; the caller whose output has made no progress for the longest time is reset (MF6080). The reading half of CallerConnection is RequestReader now.

--- a/masticfold-core/src/main/java/io/masticfold/core/memory/MemoryAccount.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/memory/MemoryAccount.java
@@ -24,7 +24,7 @@
 
     private static final int QUARTERS = 4;
 
-    /** Sources are not read while seven eighths are in use; a turn of the event loop reads less than the last eighth. */
+    /** Sources are not read on from seven eighths; a turn of the event loop reads less than the last eighth. */
     private static final int CROWDED_EIGHTHS = 7;
 
     private static final int EIGHTHS = 8;
--- a/masticfold-core/src/main/java/io/masticfold/core/memory/package-info.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/memory/package-info.java
@@ -1,3 +1,5 @@
 /** Decides who may use how much of the memory that a process holds for others, and which slow readers are shed. */
-@org.jspecify.annotations.NullMarked
+@NullMarked
 package io.masticfold.core.memory;
+
+import org.jspecify.annotations.NullMarked;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -1,6 +1,7 @@
 package io.masticfold.gateway;
 
 import io.masticfold.core.forward.RequestLimits;
+import io.masticfold.core.memory.MemoryAccount;
 import io.masticfold.core.retry.RetryBudget;
 import io.masticfold.core.retry.SlidingWindowRetryBudget;
 import io.masticfold.core.rollout.RolloutOrder;
@@ -9,9 +10,11 @@
 import io.masticfold.core.time.Scheduler;
 import io.masticfold.core.time.TimeSource;
 import io.masticfold.gateway.context.GatewayContext;
+import io.masticfold.gateway.http.CallerMemory;
 import io.masticfold.gateway.http.EventLoopScheduler;
 import io.masticfold.gateway.http.HttpClient;
 import io.masticfold.gateway.http.HttpServer;
+import io.masticfold.gateway.http.ShedReader;
 import io.masticfold.gateway.limit.TargetRateLimits;
 import io.masticfold.gateway.load.TargetLoads;
 import io.masticfold.gateway.log.EventLoopMonitor;
@@ -53,7 +56,7 @@
 /** Runs one gateway. Connections to callers, targets, peers and the store share one event loop. */
 public final class GatewayDaemon {
 
-    /** Interval at which expired idle connections are closed. */
+    /** Interval at which expired idle connections are closed and callers that do not read are looked for. */
     private static final Duration IDLE_CHECK_INTERVAL = Duration.ofMillis(500);
 
     private final AtomicReference<GatewaySettings> settings;
@@ -61,6 +64,7 @@
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final PlatformView view = new PlatformView();
     private final Scheduler scheduler;
+    private final MemoryAccount account;
     private final HttpClient client;
     private final RateLimitedLog log;
     private final GatewayRegistration registration;
@@ -95,7 +99,8 @@
         TimeSource time = TimeSource.system();
         EventLoop loop = group.next();
         this.scheduler = new EventLoopScheduler(loop, time);
-        this.client = new HttpClient(group, time);
+        this.account = CallerMemory.accountOfProcess();
+        this.client = new HttpClient(group, time, account);
         this.log = new RateLimitedLog(time, telemetry);
         ObjectStoreClient store = new ObjectStoreClient(client, scheduler, settings.store());
         GatewayAddress address = new GatewayAddress(settings.node(), settings.zone(), settings.peer());
@@ -175,12 +180,18 @@
                 rollouts,
                 shutdown,
                 targetAdmission);
-        this.front = new HttpServer(group, time, view::requestLimits, forwardHandler, reason -> {
-            telemetry.count("bad_request_" + reason.code());
-            log.important(GatewayEvent.BAD_REQUEST)
-                    .addKeyValue("reason", reason.code())
-                    .log();
-        });
+        this.front = new HttpServer(
+                group,
+                time,
+                view::requestLimits,
+                forwardHandler,
+                reason -> {
+                    telemetry.count("bad_request_" + reason.code());
+                    log.important(GatewayEvent.BAD_REQUEST)
+                            .addKeyValue("reason", reason.code())
+                            .log();
+                },
+                new CallerMemory(account, reader -> recordShed(reader, telemetry)));
         this.stopSequence = new StopSequence(
                 scheduler,
                 shutdown,
@@ -213,7 +224,8 @@
                         admissionQueue,
                         targetAdmission,
                         front,
-                        client)
+                        client,
+                        account)
                 .register(meters);
         return new HttpServer(
                 group,
@@ -223,6 +235,18 @@
                 _reason -> meters.count("bad_metrics_request"));
     }
 
+    private void recordShed(ShedReader reader, GatewayMetrics telemetry) {
+        telemetry.count("reader_shed");
+        log.important(GatewayEvent.READER_SHED)
+                .addKeyValue("address", reader.address())
+                .addKeyValue("workspace", reader.workspace())
+                .addKeyValue("unsentBytes", reader.unsentBytes())
+                .addKeyValue("stalledMillis", reader.stalled().toMillis())
+                .addKeyValue("heldBytes", account.inUseBytes())
+                .addKeyValue("limitBytes", account.limitBytes())
+                .log();
+    }
+
     private void handleOrders(List<RolloutOrder> orders) {
         rollouts.handleOrders(orders);
     }
@@ -273,6 +297,7 @@
 
     private void closeExpiredConnections() {
         client.closeExpired();
+        front.shedSlowReaders();
         scheduler.schedule(IDLE_CHECK_INTERVAL, this::closeExpiredConnections);
     }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayGauges.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayGauges.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway;
 
+import io.masticfold.core.memory.MemoryAccount;
 import io.masticfold.core.quarantine.SuspectKind;
 import io.masticfold.gateway.http.HttpClient;
 import io.masticfold.gateway.http.HttpServer;
@@ -26,7 +27,8 @@
         StageAdmissionQueue admissionQueue,
         TargetAdmission targetAdmission,
         HttpServer front,
-        HttpClient client) {
+        HttpClient client,
+        MemoryAccount account) {
 
     void register(GatewayMetrics meters) {
         meters.gauge("masticfold.targets.known", () -> view.directory().size());
@@ -38,6 +40,10 @@
         meters.gauge("masticfold.callers.connections", front::connections);
         meters.gauge("masticfold.connections.opened", client::opened);
         meters.gauge("masticfold.servers.held.back", client::heldBackServers);
+        meters.gauge("masticfold.memory.held.bytes", account::inUseBytes);
+        meters.gauge("masticfold.memory.limit.bytes", account::limitBytes);
+        meters.gauge("masticfold.memory.holders", account::holders);
+        meters.gauge("masticfold.memory.errors", account::errors);
         meters.gauge("masticfold.targets.limited", limits::limitedTargets);
         meters.gauge("masticfold.pools.paced", loads::pacedPools);
         meters.gauge("masticfold.rollouts.running", rollouts::running);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/CallerConnection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/CallerConnection.java
@@ -1,35 +1,22 @@
 package io.masticfold.gateway.http;
 
-import io.masticfold.core.forward.RequestLimits;
+import io.masticfold.core.memory.SlowReaders;
 import io.masticfold.core.time.TimeSource;
 import io.masticfold.gateway.log.GatewayEvent;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -37,27 +24,25 @@
 /** Reads the pipelined requests of one connection and serves them one at a time, in order. */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
-    /** Maximum number of pipelined requests that wait for the one being served. */
-    static final int MAX_PIPELINED = 16;
-
     private static final Logger LOGGER = LoggerFactory.getLogger(CallerConnection.class);
 
     private final HttpServer server;
     private final TimeSource time;
-    private final Deque<CallerRequest> waiting = new ArrayDeque<>();
+    private final UnsentOutput output;
+    private final RequestReader reader;
+    private final ConnectionTimer timer = new ConnectionTimer();
+    private final PipelinedRequests waiting = new PipelinedRequests();
     private @Nullable ChannelHandlerContext context;
-    private @Nullable HttpRequest head;
-    private @Nullable ByteBuf body;
     private @Nullable CallerResponseWriter current;
-    private @Nullable Future<?> timer;
-    private long headNanos;
     private long idleSinceNanos;
     private boolean closing;
     private boolean lastRequestRead;
 
-    CallerConnection(HttpServer server, TimeSource time) {
+    CallerConnection(HttpServer server, TimeSource time, UnsentOutput output) {
         this.server = server;
         this.time = time;
+        this.output = output;
+        this.reader = new RequestReader(server, time, this);
     }
 
     @Override
@@ -72,9 +57,10 @@
     public void channelInactive(ChannelHandlerContext _inactive) {
         server.closed(this);
         closing = true;
-        cancelTimer();
-        waiting.clear();
-        releaseBody();
+        timer.cancel();
+        waiting.releaseWaiting();
+        reader.release();
+        waiting.releaseServed();
         CallerResponseWriter writer = current;
         current = null;
         if (writer != null) {
@@ -84,22 +70,13 @@
 
     /** Returns whether no request is being read, waiting or being served, and every response has left the process. */
     boolean idle() {
-        return current == null && head == null && waiting.isEmpty() && !flushing();
-    }
-
-    /** Returns whether bytes of a response wait for the caller to read. */
-    private boolean flushing() {
-        ChannelHandlerContext channelContext = context;
-        ChannelOutboundBuffer unsent = channelContext == null
-                ? null
-                : channelContext.channel().unsafe().outboundBuffer();
-        return unsent != null && !unsent.isEmpty();
+        return current == null && !reader.reading() && waiting.isEmpty() && output.isEmpty();
     }
 
     /** Closes the connection if it has been idle for the given time. */
     void closeIfIdleFor(Duration duration) {
         ChannelHandlerContext channelContext = context;
-        if (flushing()) {
+        if (!output.isEmpty()) {
             idleSinceNanos = time.nanoTime();
         }
         if (idle() && time.nanoTime() - idleSinceNanos >= duration.toNanos() && channelContext != null) {
@@ -108,55 +85,28 @@
     }
 
     @Override
-    public void channelRead(ChannelHandlerContext _source, Object message) {
+    public void channelRead(ChannelHandlerContext source, Object message) {
         try {
             if (closing) {
                 return;
             }
             if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
-                refuseMalformed(object.decoderResult().cause());
+                refuse(BadRequestReason.of(object.decoderResult().cause()));
                 return;
             }
             if (message instanceof HttpRequest request) {
-                begin(request);
+                timer.cancel();
+                reader.begin(request);
             }
-            if (message instanceof HttpContent content && head != null) {
-                append(content);
+            if (message instanceof HttpContent content) {
+                reader.append(source, content);
             }
         } finally {
             ReferenceCountUtil.release(message);
         }
     }
 
-    private void refuseMalformed(Throwable cause) {
-        boolean headerTooLarge =
-                cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
-        boolean conflictingLength = String.valueOf(cause.getMessage()).contains("Content-Length");
-        refuse(
-                headerTooLarge
-                        ? BadRequestReason.HEADER_TOO_LARGE
-                        : conflictingLength ? BadRequestReason.CONFLICTING_LENGTH : BadRequestReason.MALFORMED);
-    }
-
-    private void begin(HttpRequest request) {
-        cancelTimer();
-        head = request;
-        headNanos = time.nanoTime();
-        body = Unpooled.buffer(0);
-        RequestLimits limits = server.limits();
-        if (request.headers().getAll(HttpHeaderNames.HOST).size() != 1) {
-            refuse(BadRequestReason.MISSING_HOST);
-        } else if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
-            refuse(BadRequestReason.BODY_TOO_LARGE);
-        } else {
-            if (HttpUtil.is100ContinueExpected(request)) {
-                writeContinue();
-            }
-            armTimer(limits.headerTimeout().toNanos(), BadRequestReason.HEADER_TOO_SLOW);
-        }
-    }
-
-    private void writeContinue() {
+    void writeContinue() {
         ChannelHandlerContext channelContext = context;
         if (channelContext != null && current == null) {
             channelContext.writeAndFlush(new DefaultFullHttpResponse(
@@ -164,35 +114,18 @@
         }
     }
 
-    private void append(HttpContent content) {
-        ByteBuf buffer = body;
-        HttpRequest request = head;
-        if (buffer == null || request == null) {
-            return;
-        }
-        if (buffer.readableBytes() + content.content().readableBytes()
-                > server.limits().maxBodyBytes()) {
-            refuse(BadRequestReason.BODY_TOO_LARGE);
-            return;
-        }
-        buffer.writeBytes(content.content());
-        if (content instanceof LastHttpContent) {
-            complete(request, buffer);
-        }
+    /** Returns whether no more requests may wait for the one being served. */
+    boolean pipelineFull() {
+        return waiting.full();
     }
 
-    private void complete(HttpRequest request, ByteBuf buffer) {
-        cancelTimer();
-        byte[] bytes = new byte[buffer.readableBytes()];
-        buffer.readBytes(bytes);
-        releaseBody();
-        head = null;
-        if (waiting.size() >= MAX_PIPELINED) {
-            refuse(BadRequestReason.TOO_MANY_PIPELINED);
-            return;
+    /** Adds a request that has been read or is rejected. */
+    void enqueue(PendingRequest pending) {
+        timer.cancel();
+        waiting.add(pending);
+        if (!pending.keepsAlive()) {
+            lastRequestRead = true;
         }
-        waiting.add(new CallerRequest(request.method(), request.uri(), request.headers(), bytes, headNanos));
-        checkKeepAlive(request);
         scheduleNext();
     }
 
@@ -207,12 +140,6 @@
         }
     }
 
-    private void checkKeepAlive(HttpRequest request) {
-        if (!HttpUtil.isKeepAlive(request)) {
-            lastRequestRead = true;
-        }
-    }
-
     private void startNext() {
         ChannelHandlerContext channelContext = context;
         if (current != null
@@ -220,7 +147,7 @@
                 || !channelContext.channel().isActive()) {
             return;
         }
-        CallerRequest next = waiting.poll();
+        PendingRequest next = waiting.next();
         if (next == null) {
             // A draining server closes the connection only after a response that has announced it: the caller may be
             // sending its next request.
@@ -234,19 +161,20 @@
         }
         CallerResponseWriter writer = new CallerResponseWriter(this, channelContext);
         current = writer;
-        writer.setListener(server.handler().handle(next, writer));
+        output.attributeTo(next.memory().workspace());
+        writer.setListener(next.start(server.handler(), writer));
     }
 
-    private void refuse(BadRequestReason reason) {
+    /** Refuses the request that is being read, and closes the connection after the responses before it. */
+    void refuse(BadRequestReason reason) {
         // A request read before is answered first.
         if (!waiting.isEmpty()) {
             startNext();
         }
         server.refused(reason);
         closing = true;
-        cancelTimer();
-        releaseBody();
-        head = null;
+        timer.cancel();
+        reader.release();
         ChannelHandlerContext channelContext = context;
         if (channelContext == null) {
             return;
@@ -255,57 +183,43 @@
         if (writer != null) {
             // The response in progress is completed first; the connection closes after it.
             lastRequestRead = true;
-            waiting.clear();
+            waiting.releaseWaiting();
             return;
         }
-        DefaultFullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(reason.status()),
-                Unpooled.copiedBuffer(reason.code() + "\n", StandardCharsets.US_ASCII));
-        HttpUtil.setContentLength(response, response.content().readableBytes());
-        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        channelContext.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        channelContext.writeAndFlush(reason.response()).addListener(ChannelFutureListener.CLOSE);
     }
 
     private void armIdleTimer() {
-        armTimer(server.limits().idleTimeout().toNanos(), null);
+        armTimer(server.limits().idleTimeout().toNanos(), this::idleTooLong);
     }
 
-    private void armTimer(long nanos, @Nullable BadRequestReason reason) {
-        cancelTimer();
+    /** Replaces the time-out of the connection. */
+    void armTimer(long nanos, Runnable expired) {
         ChannelHandlerContext channelContext = context;
         if (channelContext != null) {
-            timer = channelContext
-                    .executor()
-                    .schedule(() -> expired(channelContext, reason), nanos, TimeUnit.NANOSECONDS);
+            timer.arm(channelContext, nanos, expired);
         }
     }
 
-    private void expired(ChannelHandlerContext channelContext, @Nullable BadRequestReason reason) {
-        if (reason != null) {
-            refuse(reason);
-        } else if (flushing()) {
+    private void idleTooLong() {
+        ChannelHandlerContext channelContext = context;
+        if (!output.isEmpty()) {
             armIdleTimer();
-        } else if (idle()) {
+        } else if (idle() && channelContext != null) {
             closing = true;
             channelContext.close();
         }
     }
 
-    private void cancelTimer() {
-        Future<?> armed = timer;
-        timer = null;
-        if (armed != null) {
-            armed.cancel(false);
-        }
+    /** Returns the progress of the output. */
+    SlowReaders.Reader<CallerConnection> sample() {
+        return output.sample(this);
     }
 
-    private void releaseBody() {
-        ByteBuf buffer = body;
-        body = null;
-        if (buffer != null) {
-            buffer.release();
-        }
+    /** Resets the connection, whose caller does not read. Its request ends as if the caller had closed it. */
+    ShedReader shed(SlowReaders.Reader<CallerConnection> sampled, long nowNanos) {
+        closing = true;
+        return output.reset(sampled.unsentBytes(), Duration.ofNanos(sampled.stalledNanos(nowNanos)));
     }
 
     @Override
@@ -331,6 +245,7 @@
     /** Starts the next request, or closes the connection after the last response. */
     void responseCompleted(ChannelHandlerContext channelContext) {
         current = null;
+        waiting.releaseServed();
         idleSinceNanos = time.nanoTime();
         if (lastResponse()) {
             closing = true;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpClient.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpClient.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway.http;
 
+import io.masticfold.core.memory.MemoryAccount;
 import io.masticfold.core.time.LoopShares;
 import io.masticfold.core.time.TimeSource;
 import io.netty.bootstrap.Bootstrap;
@@ -63,7 +64,7 @@
     private static final HttpHeadersFactory TRAILERS =
             LimitedHeaders.factory(DefaultHttpHeadersFactory.trailersFactory());
 
-    private final ResponseMemory responseMemory = new ResponseMemory();
+    private final ResponseMemory responseMemory;
     private final EventLoopGroup group;
     private final TimeSource time;
     private final Map<InetSocketAddress, Deque<Idle>> idle = new HashMap<>();
@@ -78,6 +79,18 @@
      * @param time time source for the idle time-out
      */
     public HttpClient(EventLoopGroup group, TimeSource time) {
+        this(group, time, CallerMemory.accountOfProcess());
+    }
+
+    /**
+     * Creates a client.
+     *
+     * @param group event loop of all connections
+     * @param time time source for the idle time-out
+     * @param account counts the buffered responses
+     */
+    public HttpClient(EventLoopGroup group, TimeSource time, MemoryAccount account) {
+        this.responseMemory = new ResponseMemory(account);
         this.group = group;
         this.time = time;
         this.readShares = new LoopShares<>(time);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpServer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpServer.java
@@ -1,6 +1,8 @@
 package io.masticfold.gateway.http;
 
 import io.masticfold.core.forward.RequestLimits;
+import io.masticfold.core.memory.MemoryAccount;
+import io.masticfold.core.memory.SlowReaders;
 import io.masticfold.core.time.TimeSource;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -15,6 +17,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -35,7 +38,19 @@
     private final Consumer<BadRequestReason> refusals;
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
     private @Nullable Channel channel;
+    private final CallerMemory memory;
     private boolean draining;
+    private boolean sheddingScheduled;
+
+    /** Creates a server with a memory account of its own. */
+    public HttpServer(
+            EventLoopGroup group,
+            TimeSource time,
+            RequestLimitsSource limits,
+            RequestHandler handler,
+            Consumer<BadRequestReason> refusals) {
+        this(group, time, limits, handler, refusals, new CallerMemory(CallerMemory.accountOfProcess(), _reader -> {}));
+    }
 
     /**
      * Creates a server.
@@ -45,18 +60,21 @@
      * @param limits limits on requests
      * @param handler serves the requests
      * @param refusals called for each request that is refused before it reaches the handler
+     * @param memory counts the bodies of requests and the unsent output
      */
     public HttpServer(
             EventLoopGroup group,
             TimeSource time,
             RequestLimitsSource limits,
             RequestHandler handler,
-            Consumer<BadRequestReason> refusals) {
+            Consumer<BadRequestReason> refusals,
+            CallerMemory memory) {
         this.group = group;
         this.time = time;
         this.limits = limits;
         this.handler = handler;
         this.refusals = refusals;
+        this.memory = memory;
     }
 
     /**
@@ -80,12 +98,15 @@
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel accepted) {
+                        UnsentOutput output =
+                                new UnsentOutput(memory.account(), time, HttpServer.this::scheduleShedding);
                         accepted.pipeline()
+                                .addLast(output)
                                 .addLast(new StrictRequestDecoder(new HttpDecoderConfig()
                                         .setMaxInitialLineLength(limits().maxHeaderBytes())
                                         .setMaxHeaderSize(limits().maxHeaderBytes())))
                                 .addLast(new HttpResponseEncoder())
-                                .addLast(new CallerConnection(HttpServer.this, time));
+                                .addLast(new CallerConnection(HttpServer.this, time, output));
                     }
                 })
                 .bind(address)
@@ -138,6 +159,31 @@
         return connections.stream().allMatch(CallerConnection::idle);
     }
 
+    private void scheduleShedding() {
+        if (!sheddingScheduled) {
+            sheddingScheduled = true;
+            group.next().execute(this::shedSlowReaders);
+        }
+    }
+
+    /** Closes the connections that make the least progress if the process holds too much for others. */
+    public void shedSlowReaders() {
+        sheddingScheduled = false;
+        MemoryAccount account = memory.account();
+        if (account.inUseBytes() < account.limitBytes() / 2) {
+            return;
+        }
+        List<SlowReaders.Reader<CallerConnection>> readers =
+                connections.stream().map(CallerConnection::sample).toList();
+        long now = time.nanoTime();
+        SlowReaders.toShed(account, readers, now)
+                .forEach(reader -> memory.onShed().accept(reader.connection().shed(reader, now)));
+    }
+
+    MemoryAccount account() {
+        return memory.account();
+    }
+
     RequestLimits limits() {
         return limits.current();
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
@@ -64,7 +64,8 @@
     ROLLOUT_UNREADABLE(6063, Level.ERROR, "an order in the object store cannot be decoded"),
     REQUEST_WAITS_FOR_TARGET(6070, Level.INFO, "a request waits in this gateway for a target"),
     WAITING_REQUEST_ADMITTED(6071, Level.INFO, "a request that waited for a target is sent now"),
-    REQUEST_NOT_ADMITTED(6072, Level.INFO, "a request cannot be served in time and is rejected before it is sent");
+    REQUEST_NOT_ADMITTED(6072, Level.INFO, "a request cannot be served in time and is rejected before it is sent"),
+    READER_SHED(6080, Level.WARN, "a caller's connection was reset, since it does not read and the memory is needed");
 
     private final EventDefinition definition;
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/PlatformProtocol.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/PlatformProtocol.java
@@ -15,6 +15,9 @@
     /** Decodes the headers of a caller's request. */
     CallerMetadata decodeCaller(HttpHeaders headers);
 
+    /** Decodes the API key of a caller's request; empty if missing. */
+    String decodeApiKey(HttpHeaders headers);
+
     /** Decodes the load that a target reports in the headers of a response. */
     Optional<TargetLoadReport> decodeLoad(HttpHeaders headers);
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
@@ -25,6 +25,7 @@
 import io.masticfold.gateway.stage.StageAdmissionQueue;
 import io.masticfold.gateway.stage.StageDispatcher;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -85,6 +86,27 @@
                 () -> refuse(request, metadata, response, ErrorKind.OVERLOADED, "deadline passed after a pause"));
     }
 
+    @Override
+    public String workspace(HttpHeaders headers) {
+        ForwardConfig config = context.view().config();
+        return config == null
+                ? ""
+                : config.workspace(context.protocol().decodeApiKey(headers))
+                        .map(WorkspaceSpec::name)
+                        .orElse("");
+    }
+
+    @Override
+    public void rejectForMemory(CallerRequest request, CallerResponse response) {
+        context.telemetry().count("memory_rejected");
+        refuse(
+                request,
+                context.protocol().decodeCaller(request.headers()),
+                response,
+                ErrorKind.OVERLOADED,
+                "no memory for the body");
+    }
+
     private CallerListener start(CallerRequest request, CallerMetadata metadata, CallerResponse response) {
         try {
             return route(request, metadata, response);
