Bound the share of the event loop that the input of a caller takes

Cause: a turn of a caller's connection read up to 16 times 64 KiB, so that one-byte chunks took long turns, and pipelined requests that waited for the response before them ran in one turn of the loop, for all connections together.

Change: callers are charged for long turns in the account of the servers (ReadShares), by address; only connections whose last turn was long are held back, and that time does not count in time-outs. A turn reads at most 16 KiB. Waiting pipelined requests start for at most 5 ms a turn, after the next reads (PipelinedStarts).

--- a/masticfold-core/src/main/java/io/masticfold/core/time/LoopShares.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/time/LoopShares.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * Bounds the share of an event loop's time that the input of peers may take in long turns: together half of the time,
@@ -58,7 +59,7 @@
     }
 
     private static long cost(long turnNanos) {
-        return turnNanos < SHORT_TURN.toNanos() ? 0 : Math.min(turnNanos, MAX_CHARGE.toNanos());
+        return isFree(turnNanos) ? 0 : Math.min(turnNanos, MAX_CHARGE.toNanos());
     }
 
     private void add(K peer, long nanos) {
@@ -83,11 +84,21 @@
 
     /** Returns the number of peers that have used more than a burst and their share. */
     public int heldBack() {
-        return (int) accounts.values().stream()
-                .filter(account -> account.excessNanos() > 0)
+        return heldBack(_peer -> true);
+    }
+
+    /** Returns the number of peers of some kind that have used more than a burst and their share. */
+    public int heldBack(Predicate<? super K> kind) {
+        return (int) accounts.entrySet().stream()
+                .filter(entry -> entry.getValue().excessNanos() > 0 && kind.test(entry.getKey()))
                 .count();
     }
 
+    /** Returns whether a turn is so short that it is not charged. */
+    public static boolean isFree(long turnNanos) {
+        return turnNanos < SHORT_TURN.toNanos();
+    }
+
     /** Forgets the peers that have had no long turns for a while. */
     public void forgetIdle() {
         long now = time.nanoTime();
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -175,7 +175,7 @@
                 rollouts,
                 shutdown,
                 targetAdmission);
-        this.front = new HttpServer(group, time, view::requestLimits, forwardHandler, reason -> {
+        this.front = new HttpServer(group, time, client.readShares(), view::requestLimits, forwardHandler, reason -> {
             telemetry.count("bad_request_" + reason.code());
             log.important(GatewayEvent.BAD_REQUEST)
                     .addKeyValue("reason", reason.code())
@@ -195,6 +195,7 @@
         this.readiness = new HttpServer(
                 group,
                 time,
+                client.readShares(),
                 () -> RequestLimits.DEFAULT,
                 new ReadinessHandler(protocol.readinessPath(), this::ready),
                 _reason -> telemetry.count("bad_probe"));
@@ -218,6 +219,7 @@
         return new HttpServer(
                 group,
                 time,
+                client.readShares(),
                 () -> RequestLimits.DEFAULT,
                 new MetricsHandler(meters::page),
                 _reason -> meters.count("bad_metrics_request"));
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayGauges.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayGauges.java
@@ -37,7 +37,8 @@
         meters.gauge("masticfold.requests.awaiting.target", targetAdmission::waiting);
         meters.gauge("masticfold.callers.connections", front::connections);
         meters.gauge("masticfold.connections.opened", client::opened);
-        meters.gauge("masticfold.servers.held.back", client::heldBackServers);
+        meters.gauge("masticfold.servers.held.back", client.readShares()::heldBackServers);
+        meters.gauge("masticfold.callers.held.back", client.readShares()::heldBackCallers);
         meters.gauge("masticfold.targets.limited", limits::limitedTargets);
         meters.gauge("masticfold.pools.paced", loads::pacedPools);
         meters.gauge("masticfold.rollouts.running", rollouts::running);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/CallerConnection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/CallerConnection.java
@@ -44,6 +44,7 @@
 
     private final HttpServer server;
     private final TimeSource time;
+    private final ReadThrottle throttle;
     private final Deque<CallerRequest> waiting = new ArrayDeque<>();
     private @Nullable ChannelHandlerContext context;
     private @Nullable HttpRequest head;
@@ -54,15 +55,18 @@
     private long idleSinceNanos;
     private boolean closing;
     private boolean lastRequestRead;
+    private boolean startPending;
 
-    CallerConnection(HttpServer server, TimeSource time) {
+    CallerConnection(HttpServer server, TimeSource time, ReadThrottle throttle) {
         this.server = server;
         this.time = time;
+        this.throttle = throttle;
     }
 
     @Override
     public void channelActive(ChannelHandlerContext active) {
         context = active;
+        throttle.opened(active.channel());
         idleSinceNanos = time.nanoTime();
         server.opened(this);
         armIdleTimer();
@@ -128,6 +132,16 @@
         }
     }
 
+    /** Called for all bytes that the caller has sent, before they are decoded. */
+    void bytesReceived() {
+        throttle.bytesReceived();
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext _context) {
+        throttle.turnEnded();
+    }
+
     private void refuseMalformed(Throwable cause) {
         boolean headerTooLarge =
                 cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
@@ -202,11 +216,17 @@
      */
     private void scheduleNext() {
         ChannelHandlerContext channelContext = context;
-        if (current == null && channelContext != null) {
-            channelContext.executor().execute(this::startNext);
+        if (current == null && channelContext != null && !startPending) {
+            startPending = true;
+            channelContext.executor().execute(this::startPendingRequest);
         }
     }
 
+    private void startPendingRequest() {
+        startPending = false;
+        startNext();
+    }
+
     private void checkKeepAlive(HttpRequest request) {
         if (!HttpUtil.isKeepAlive(request)) {
             lastRequestRead = true;
@@ -275,14 +295,20 @@
         cancelTimer();
         ChannelHandlerContext channelContext = context;
         if (channelContext != null) {
+            long heldBackNanos = throttle.heldBackNanos();
             timer = channelContext
                     .executor()
-                    .schedule(() -> expired(channelContext, reason), nanos, TimeUnit.NANOSECONDS);
+                    .schedule(() -> expired(channelContext, reason, heldBackNanos), nanos, TimeUnit.NANOSECONDS);
         }
     }
 
-    private void expired(ChannelHandlerContext channelContext, @Nullable BadRequestReason reason) {
-        if (reason != null) {
+    private void expired(
+            ChannelHandlerContext channelContext, @Nullable BadRequestReason reason, long heldBackNanosAtStart) {
+        long unreadNanos = throttle.heldBackNanos() - heldBackNanosAtStart;
+        if (unreadNanos > 0) {
+            // The caller is not late while its input is left unread.
+            armTimer(unreadNanos, reason);
+        } else if (reason != null) {
             refuse(reason);
         } else if (flushing()) {
             armIdleTimer();
@@ -335,8 +361,11 @@
         if (lastResponse()) {
             closing = true;
             channelContext.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
-        } else {
+        } else if (waiting.isEmpty()) {
             scheduleNext();
+        } else if (!startPending) {
+            startPending = true;
+            server.pipelinedStarts().add(channelContext.executor(), this::startPendingRequest);
         }
     }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpClient.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpClient.java
@@ -1,6 +1,5 @@
 package io.masticfold.gateway.http;
 
-import io.masticfold.core.time.LoopShares;
 import io.masticfold.core.time.TimeSource;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -23,10 +22,8 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.Map;
-import java.util.Set;
 import jdk.net.ExtendedSocketOptions;
 import org.jspecify.annotations.Nullable;
 
@@ -67,8 +64,7 @@
     private final EventLoopGroup group;
     private final TimeSource time;
     private final Map<InetSocketAddress, Deque<Idle>> idle = new HashMap<>();
-    private final LoopShares<InetSocketAddress> readShares;
-    private final Set<InetSocketAddress> neverHeldBack = new HashSet<>();
+    private final ReadShares readShares;
     private long opened;
 
     /**
@@ -80,7 +76,7 @@
     public HttpClient(EventLoopGroup group, TimeSource time) {
         this.group = group;
         this.time = time;
-        this.readShares = new LoopShares<>(time);
+        this.readShares = new ReadShares(time);
     }
 
     /**
@@ -89,22 +85,14 @@
      * @param address address of a server on which all others depend
      */
     public void neverHoldBack(InetSocketAddress address) {
-        neverHeldBack.add(address);
+        readShares.neverHoldBack(address);
     }
 
-    /** Returns the number of servers whose responses are read more slowly than they come. */
-    public int heldBackServers() {
-        return readShares.heldBack();
-    }
-
-    LoopShares<InetSocketAddress> readShares() {
+    /** Returns the accounts of the event loop's time that input takes; shared with the servers on the loop. */
+    public ReadShares readShares() {
         return readShares;
     }
 
-    Duration waitBeforeRead(InetSocketAddress address) {
-        return neverHeldBack.contains(address) ? Duration.ZERO : readShares.waitTime(address);
-    }
-
     /**
      * Sends a request.
      *
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpServer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpServer.java
@@ -5,6 +5,8 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -26,13 +28,21 @@
     private static final int BACKLOG = 1024;
 
     /** Maximum number of reads from one connection before the others have their turn. */
-    private static final int MAX_READS = 16;
+    private static final int MAX_READS = 4;
+
+    private static final int MIN_READ_BYTES = 512;
+    private static final int INITIAL_READ_BYTES = 2048;
+
+    /** Size of a read; a turn has at most 16 KiB, as that of a connection to a server. */
+    private static final int MAX_READ_BYTES = 4096;
 
     private final EventLoopGroup group;
     private final TimeSource time;
     private final RequestLimitsSource limits;
     private final RequestHandler handler;
     private final Consumer<BadRequestReason> refusals;
+    private final ReadShares shares;
+    private final PipelinedStarts pipelinedStarts = new PipelinedStarts();
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
     private @Nullable Channel channel;
     private boolean draining;
@@ -42,6 +52,7 @@
      *
      * @param group event loop of all connections
      * @param time time source
+     * @param shares accounts of the event loop's time that input takes
      * @param limits limits on requests
      * @param handler serves the requests
      * @param refusals called for each request that is refused before it reaches the handler
@@ -49,11 +60,13 @@
     public HttpServer(
             EventLoopGroup group,
             TimeSource time,
+            ReadShares shares,
             RequestLimitsSource limits,
             RequestHandler handler,
             Consumer<BadRequestReason> refusals) {
         this.group = group;
         this.time = time;
+        this.shares = shares;
         this.limits = limits;
         this.handler = handler;
         this.refusals = refusals;
@@ -74,18 +87,26 @@
                 // Reads until nothing is left, so that the end of a connection is seen together with its last request.
                 .childOption(
                         ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator()
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
                                 .respectMaybeMoreData(false)
                                 .maxMessagesPerRead(MAX_READS))
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel accepted) {
+                        CallerConnection connection = new CallerConnection(HttpServer.this, time, throttle(accepted));
                         accepted.pipeline()
+                                .addLast(new ChannelInboundHandlerAdapter() {
+                                    @Override
+                                    public void channelRead(ChannelHandlerContext context, Object bytes) {
+                                        connection.bytesReceived();
+                                        context.fireChannelRead(bytes);
+                                    }
+                                })
                                 .addLast(new StrictRequestDecoder(new HttpDecoderConfig()
                                         .setMaxInitialLineLength(limits().maxHeaderBytes())
                                         .setMaxHeaderSize(limits().maxHeaderBytes())))
                                 .addLast(new HttpResponseEncoder())
-                                .addLast(new CallerConnection(HttpServer.this, time));
+                                .addLast(connection);
                     }
                 })
                 .bind(address)
@@ -93,6 +114,11 @@
                 .channel();
     }
 
+    private ReadThrottle throttle(Channel accepted) {
+        return new ReadThrottle(
+                shares, ReadShares.callerKey(accepted.remoteAddress()), true, ProcessorTime::ofCurrentThread);
+    }
+
     /**
      * Returns the address of the listening socket.
      *
@@ -146,6 +172,10 @@
         return handler;
     }
 
+    PipelinedStarts pipelinedStarts() {
+        return pipelinedStarts;
+    }
+
     boolean draining() {
         return draining;
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
@@ -49,7 +49,7 @@
         this.owner = owner;
         this.address = address;
         this.time = time;
-        this.throttle = new ReadThrottle(owner, address, ProcessorTime::ofCurrentThread);
+        this.throttle = new ReadThrottle(owner.readShares(), address, false, ProcessorTime::ofCurrentThread);
         this.connectNanos = time.nanoTime();
     }
 
--- a/masticfold-gateway/src/test/java/io/masticfold/gateway/http/HttpServerTests.java
+++ b/masticfold-gateway/src/test/java/io/masticfold/gateway/http/HttpServerTests.java
@@ -44,7 +44,13 @@
     @BeforeEach
     void start() throws InterruptedException {
         RequestLimits limits = new RequestLimits(1024, 1024, Duration.ofSeconds(3), IDLE_TIMEOUT);
-        server = new HttpServer(group, TimeSource.system(), () -> limits, this::serve, _reason -> {});
+        server = new HttpServer(
+                group,
+                TimeSource.system(),
+                new ReadShares(TimeSource.system()),
+                () -> limits,
+                this::serve,
+                _reason -> {});
         server.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         address = server.address();
     }
