--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -183,6 +183,7 @@
         this.front = new HttpServer(
                 group,
                 time,
+                client.readShares(),
                 view::requestLimits,
                 forwardHandler,
                 reason -> {
@@ -206,6 +207,7 @@
         this.readiness = new HttpServer(
                 group,
                 time,
+                client.readShares(),
                 () -> RequestLimits.DEFAULT,
                 new ReadinessHandler(protocol.readinessPath(), this::ready),
                 _reason -> telemetry.count("bad_probe"));
@@ -230,6 +232,7 @@
         return new HttpServer(
                 group,
                 time,
+                client.readShares(),
                 () -> RequestLimits.DEFAULT,
                 new MetricsHandler(meters::page),
                 _reason -> meters.count("bad_metrics_request"));
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/CallerConnection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/CallerConnection.java
@@ -29,6 +29,7 @@
     private final HttpServer server;
     private final TimeSource time;
     private final UnsentOutput output;
+    private final ReadThrottle throttle;
     private final RequestReader reader;
     private final ConnectionTimer timer = new ConnectionTimer();
     private final PipelinedRequests waiting = new PipelinedRequests();
@@ -37,17 +38,20 @@
     private long idleSinceNanos;
     private boolean closing;
     private boolean lastRequestRead;
+    private boolean startPending;
 
-    CallerConnection(HttpServer server, TimeSource time, UnsentOutput output) {
+    CallerConnection(HttpServer server, TimeSource time, UnsentOutput output, ReadThrottle throttle) {
         this.server = server;
         this.time = time;
         this.output = output;
+        this.throttle = throttle;
         this.reader = new RequestReader(server, time, this);
     }
 
     @Override
     public void channelActive(ChannelHandlerContext active) {
         context = active;
+        throttle.opened(active.channel());
         idleSinceNanos = time.nanoTime();
         server.opened(this);
         armIdleTimer();
@@ -106,6 +110,21 @@
         }
     }
 
+    /** Called for all bytes that the caller has sent, before they are decoded. */
+    void bytesReceived() {
+        throttle.bytesReceived();
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext _context) {
+        throttle.turnEnded();
+    }
+
+    /** Stops or continues reading for want of memory; the share of the event loop is kept all the same. */
+    void setMemoryAvailable(boolean available) {
+        throttle.setCallerReady(available);
+    }
+
     void writeContinue() {
         ChannelHandlerContext channelContext = context;
         if (channelContext != null && current == null) {
@@ -135,11 +154,17 @@
      */
     private void scheduleNext() {
         ChannelHandlerContext channelContext = context;
-        if (current == null && channelContext != null) {
-            channelContext.executor().execute(this::startNext);
+        if (current == null && channelContext != null && !startPending) {
+            startPending = true;
+            channelContext.executor().execute(this::startPendingRequest);
         }
     }
 
+    private void startPendingRequest() {
+        startPending = false;
+        startNext();
+    }
+
     private void startNext() {
         ChannelHandlerContext channelContext = context;
         if (current != null
@@ -197,7 +222,18 @@
     void armTimer(long nanos, Runnable expired) {
         ChannelHandlerContext channelContext = context;
         if (channelContext != null) {
-            timer.arm(channelContext, nanos, expired);
+            long heldBackNanos = throttle.heldBackNanos();
+            timer.arm(channelContext, nanos, () -> expired(expired, heldBackNanos));
+        }
+    }
+
+    private void expired(Runnable action, long heldBackNanosAtStart) {
+        long unreadNanos = throttle.heldBackNanos() - heldBackNanosAtStart;
+        if (unreadNanos > 0) {
+            // The caller is not late while its input is left unread.
+            armTimer(unreadNanos, action);
+        } else {
+            action.run();
         }
     }
 
@@ -250,8 +286,11 @@
         if (lastResponse()) {
             closing = true;
             channelContext.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
-        } else {
+        } else if (waiting.isEmpty()) {
             scheduleNext();
+        } else if (!startPending) {
+            startPending = true;
+            server.pipelinedStarts().add(channelContext.executor(), this::startPendingRequest);
         }
     }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpServer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpServer.java
@@ -7,6 +7,8 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -29,13 +31,21 @@
     private static final int BACKLOG = 1024;
 
     /** Maximum number of reads from one connection before the others have their turn. */
-    private static final int MAX_READS = 16;
+    private static final int MAX_READS = 4;
+
+    private static final int MIN_READ_BYTES = 512;
+    private static final int INITIAL_READ_BYTES = 2048;
+
+    /** Size of a read; a turn has at most 16 KiB, as that of a connection to a server. */
+    private static final int MAX_READ_BYTES = 4096;
 
     private final EventLoopGroup group;
     private final TimeSource time;
     private final RequestLimitsSource limits;
     private final RequestHandler handler;
     private final Consumer<BadRequestReason> refusals;
+    private final ReadShares shares;
+    private final PipelinedStarts pipelinedStarts = new PipelinedStarts();
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
     private @Nullable Channel channel;
     private final CallerMemory memory;
@@ -46,10 +56,18 @@
     public HttpServer(
             EventLoopGroup group,
             TimeSource time,
+            ReadShares shares,
             RequestLimitsSource limits,
             RequestHandler handler,
             Consumer<BadRequestReason> refusals) {
-        this(group, time, limits, handler, refusals, new CallerMemory(CallerMemory.accountOfProcess(), _reader -> {}));
+        this(
+                group,
+                time,
+                shares,
+                limits,
+                handler,
+                refusals,
+                new CallerMemory(CallerMemory.accountOfProcess(), _reader -> {}));
     }
 
     /**
@@ -57,6 +75,7 @@
      *
      * @param group event loop of all connections
      * @param time time source
+     * @param shares accounts of the event loop's time that input takes
      * @param limits limits on requests
      * @param handler serves the requests
      * @param refusals called for each request that is refused before it reaches the handler
@@ -65,12 +84,14 @@
     public HttpServer(
             EventLoopGroup group,
             TimeSource time,
+            ReadShares shares,
             RequestLimitsSource limits,
             RequestHandler handler,
             Consumer<BadRequestReason> refusals,
             CallerMemory memory) {
         this.group = group;
         this.time = time;
+        this.shares = shares;
         this.limits = limits;
         this.handler = handler;
         this.refusals = refusals;
@@ -92,7 +113,7 @@
                 // Reads until nothing is left, so that the end of a connection is seen together with its last request.
                 .childOption(
                         ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator()
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
                                 .respectMaybeMoreData(false)
                                 .maxMessagesPerRead(MAX_READS))
                 .childHandler(new ChannelInitializer<>() {
@@ -100,13 +121,22 @@
                     protected void initChannel(Channel accepted) {
                         UnsentOutput output =
                                 new UnsentOutput(memory.account(), time, HttpServer.this::scheduleShedding);
+                        CallerConnection connection =
+                                new CallerConnection(HttpServer.this, time, output, throttle(accepted));
                         accepted.pipeline()
                                 .addLast(output)
+                                .addLast(new ChannelInboundHandlerAdapter() {
+                                    @Override
+                                    public void channelRead(ChannelHandlerContext context, Object bytes) {
+                                        connection.bytesReceived();
+                                        context.fireChannelRead(bytes);
+                                    }
+                                })
                                 .addLast(new StrictRequestDecoder(new HttpDecoderConfig()
                                         .setMaxInitialLineLength(limits().maxHeaderBytes())
                                         .setMaxHeaderSize(limits().maxHeaderBytes())))
                                 .addLast(new HttpResponseEncoder())
-                                .addLast(new CallerConnection(HttpServer.this, time, output));
+                                .addLast(connection);
                     }
                 })
                 .bind(address)
@@ -114,6 +144,11 @@
                 .channel();
     }
 
+    private ReadThrottle throttle(Channel accepted) {
+        return new ReadThrottle(
+                shares, ReadShares.callerKey(accepted.remoteAddress()), true, ProcessorTime::ofCurrentThread);
+    }
+
     /**
      * Returns the address of the listening socket.
      *
@@ -192,6 +227,10 @@
         return handler;
     }
 
+    PipelinedStarts pipelinedStarts() {
+        return pipelinedStarts;
+    }
+
     boolean draining() {
         return draining;
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/RequestReader.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/RequestReader.java
@@ -112,7 +112,7 @@
     private void pause(ChannelHandlerContext context) {
         if (!paused) {
             paused = true;
-            context.channel().config().setAutoRead(false);
+            connection.setMemoryAvailable(false);
             scheduleResume(context);
         }
     }
@@ -126,7 +126,7 @@
             scheduleResume(context);
         } else {
             paused = false;
-            context.channel().config().setAutoRead(true);
+            connection.setMemoryAvailable(true);
         }
     }
 
--- a/masticfold-gateway/src/test/java/io/masticfold/gateway/http/CallerMemoryTests.java
+++ b/masticfold-gateway/src/test/java/io/masticfold/gateway/http/CallerMemoryTests.java
@@ -62,7 +62,13 @@
             }
         };
         server = new HttpServer(
-                group, TimeSource.system(), () -> limits, handler, _reason -> {}, new CallerMemory(account, shed::add));
+                group,
+                TimeSource.system(),
+                new ReadShares(TimeSource.system()),
+                () -> limits,
+                handler,
+                _reason -> {},
+                new CallerMemory(account, shed::add));
         server.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
     }
 
