Reserve the announced length of bodies, and shed when something did not fit

Cause: in a trial over a real process thirty bodies of 4 MB were all begun, since only what had been read was counted, and then filled the account: a small request of another workspace got 503. Beside 200 callers that do not read, 92 responses of 1 MB did not fit while stalled output stayed below the mark for shedding. Change: the announced length is reserved at the head, growth without a length passes the threshold of its workspace, and a failed reservation lets readers without progress for a second be shed. Seen: MemoryAccountTests (13), SlowReadersTests (6) and CallerMemoryTests (10) pass.

--- a/masticfold-core/src/main/java/io/masticfold/core/memory/MemoryAccount.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/memory/MemoryAccount.java
@@ -36,6 +36,7 @@
     private final Map<String, Long> held = new HashMap<>();
     private long inUseBytes;
     private long errors;
+    private boolean shortage;
 
     /**
      * Creates an empty account.
@@ -61,18 +62,21 @@
     }
 
     /**
-     * Returns whether a new request may be begun; reserves nothing.
-     *
-     * @param bytes size of its body as far as announced
+     * Reserves memory for the body of a request, or for more of it, if its workspace holds less than its threshold;
+     * returns false, and reserves nothing, if it does not.
      */
-    public boolean admits(String workspace, long bytes) {
+    public boolean admit(String workspace, long bytes) {
         long left = limitBytes / QUARTERS * ADMITTED_QUARTERS - inUseBytes - bytes;
-        return left >= 0 && heldBytes(workspace) + bytes <= FREE_MULTIPLE * left;
+        if (left < 0) {
+            shortage = true;
+        }
+        return left >= 0 && heldBytes(workspace) + bytes <= FREE_MULTIPLE * left && reserve(workspace, bytes);
     }
 
     /** Reserves memory for what has been begun; returns false, and reserves nothing, if it does not fit. */
     public boolean reserve(String workspace, long bytes) {
         if (inUseBytes + bytes > limitBytes) {
+            shortage = true;
             return false;
         }
         add(workspace, bytes);
@@ -114,9 +118,17 @@
         return inUseBytes > limitBytes;
     }
 
-    /** Returns how much unsent output is to be dropped so that new requests can be admitted; zero if not crowded. */
+    /**
+     * Returns how much unsent output is to be dropped so that new requests can be admitted; zero unless the account is
+     * crowded or something did not fit since {@link #shortageHandled}.
+     */
     public long excessBytes() {
-        return crowded() ? inUseBytes - limitBytes / QUARTERS * ADMITTED_QUARTERS : 0;
+        return shortage || crowded() ? Math.max(0, inUseBytes - limitBytes / QUARTERS * ADMITTED_QUARTERS) : 0;
+    }
+
+    /** Records that the slowest readers have been shed. */
+    public void shortageHandled() {
+        shortage = false;
     }
 
     /** Returns what a workspace holds, in bytes. */
--- a/masticfold-core/src/main/java/io/masticfold/core/memory/MemoryReservation.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/memory/MemoryReservation.java
@@ -30,6 +30,15 @@
         return true;
     }
 
+    /** Grows to the size that a body needs; returns false, and changes nothing, if that is not admitted. */
+    public boolean admit(long newBytes) {
+        if (closed || (newBytes > bytes && !account.admit(workspace, newBytes - bytes))) {
+            return false;
+        }
+        bytes = Math.max(bytes, newBytes);
+        return true;
+    }
+
     /** Returns the reserved size. */
     public long bytes() {
         return bytes;
--- a/masticfold-core/src/test/java/io/masticfold/core/memory/SlowReadersTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/memory/SlowReadersTests.java
@@ -55,6 +55,21 @@
         assertThat(shed(readers)).containsExactly("small-and-stalled");
     }
 
+    /** Responses that did not fit were dropped, while stalled output stayed just below the mark at which it is shed. */
+    @Test
+    void stalledOutputIsKeptAlthoughAResponseDidNotFit() {
+        List<Reader<String>> readers = List.of(
+                reader("stalled", (int) (LIMIT / 16 * 6), Duration.ofSeconds(5)),
+                reader("reading", (int) (LIMIT / 16 * 7), Duration.ZERO));
+        assertThat(shed(readers)).isEmpty();
+
+        assertThat(account.reserve("w", LIMIT / 4)).isFalse();
+
+        assertThat(shed(readers)).containsExactly("stalled");
+        account.shortageHandled();
+        assertThat(shed(readers)).isEmpty();
+    }
+
     @Test
     void readersAreShedAlthoughThereIsRoom() {
         List<Reader<String>> readers = List.of(reader("stalled", (int) (LIMIT / 2), Duration.ofSeconds(50)));
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpServer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpServer.java
@@ -178,6 +178,7 @@
         long now = time.nanoTime();
         SlowReaders.toShed(account, readers, now)
                 .forEach(reader -> memory.onShed().accept(reader.connection().shed(reader, now)));
+        account.shortageHandled();
     }
 
     MemoryAccount account() {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/RequestAssembly.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/RequestAssembly.java
@@ -15,16 +15,23 @@
     private final HttpRequest head;
     private final long headNanos;
     private final MemoryReservation memory;
-    private final ByteBuf body = Unpooled.buffer(0);
+    private final ByteBuf body;
 
-    RequestAssembly(HttpRequest head, long headNanos, MemoryReservation memory) {
+    /**
+     * Creates an empty request.
+     *
+     * @param maxBodyBytes announced length of the body, or the largest one if none is announced
+     */
+    RequestAssembly(HttpRequest head, long headNanos, MemoryReservation memory, int maxBodyBytes) {
         this.head = head;
         this.headNanos = headNanos;
         this.memory = memory;
+        this.body = Unpooled.buffer(0, maxBodyBytes);
     }
 
-    String workspace() {
-        return memory.workspace();
+    /** Reserves memory for the announced length; returns false if that is not admitted. */
+    boolean admit(long announcedBytes) {
+        return memory.admit(announcedBytes);
     }
 
     int bodyBytes() {
@@ -35,7 +42,7 @@
     boolean append(ByteBuf part) {
         int needed = body.readableBytes() + part.readableBytes();
         if (needed > body.capacity()
-                && !memory.resize(UnpooledByteBufAllocator.DEFAULT.calculateNewCapacity(needed, Integer.MAX_VALUE))) {
+                && !memory.admit(UnpooledByteBufAllocator.DEFAULT.calculateNewCapacity(needed, body.maxCapacity()))) {
             return false;
         }
         body.writeBytes(part);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/RequestReader.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/RequestReader.java
@@ -39,20 +39,21 @@
     /** Begins a request whose head has been read. */
     void begin(HttpRequest request) {
         droppedBytes = 0;
+        RequestLimits limits = server.limits();
+        long announced = HttpUtil.getContentLength(request, 0L);
         RequestAssembly begun = new RequestAssembly(
                 request,
                 time.nanoTime(),
-                new MemoryReservation(server.account(), server.handler().workspace(request.headers())));
+                new MemoryReservation(server.account(), server.handler().workspace(request.headers())),
+                announced > 0 && announced < limits.maxBodyBytes() ? (int) announced : limits.maxBodyBytes());
         assembly = begun;
-        RequestLimits limits = server.limits();
-        long announced = HttpUtil.getContentLength(request, 0L);
         boolean hasBody = announced > 0 || HttpUtil.isTransferEncodingChunked(request);
         boolean awaitsContinue = HttpUtil.is100ContinueExpected(request);
         if (request.headers().getAll(HttpHeaderNames.HOST).size() != 1) {
             connection.refuse(BadRequestReason.MISSING_HOST);
         } else if (announced > limits.maxBodyBytes()) {
             connection.refuse(BadRequestReason.BODY_TOO_LARGE);
-        } else if (hasBody && !server.account().admits(begun.workspace(), announced)) {
+        } else if (hasBody && !begun.admit(announced)) {
             // A caller that waits for "100 Continue" may send its next request in place of the body.
             reject(begun, !awaitsContinue);
         } else {
