Count malformed signals of targets

A malformed Server-Leaving, or a malformed Retry-After in a 503, was ignored without a trace. Each defect now has a counter (MalformedSignal), for requests and stage calls. A pause above 24 days is counted as well, but obeyed as 24 days as before, which TargetSignalTests requires; the other defects stay ignored.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/limit/TargetRateLimits.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/limit/TargetRateLimits.java
@@ -68,6 +68,7 @@
      */
     public void recordAnswer(TargetRecord target, TargetSignals signals) {
         String key = target.incarnation();
+        signals.malformed().forEach(defect -> telemetry.count(defect.counter()));
         if (!signals.pause().isZero() && pauses.record(key, signals.pause())) {
             telemetry.count("target_paused");
             log.important(GatewayEvent.TARGET_PAUSED)
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServer.java
@@ -256,6 +256,7 @@
     }
 
     private void recordSignals(TargetSignals signals) {
+        signals.malformed().forEach(defect -> context.telemetry().count(defect.counter()));
         signals.limit().ifPresent(serverState::pauseForLimit);
         serverState.pauseAsAsked(signals.pause());
         if (signals.leaving()) {
