Do not move to a version that is likely bad on few responses

Change: after 60 % of its time a version is moved to only if the same test with 1e-3 does not take it for bad; otherwise it keeps the limited share, and is rolled back if this is still so at 92 %. A move that has begun is not taken back.

--- a/masticfold-core/src/main/java/io/masticfold/core/rollout/RolloutPolicy.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/rollout/RolloutPolicy.java
@@ -19,6 +19,13 @@
      */
     static final double FALSE_ALARM_PROBABILITY = 1e-5;
 
+    /**
+     * Probability below which a version is not taken for sound: it gets no more than the limited share, and is rolled
+     * back if this is still so at the end. With few responses a bad version does not reach the other probability. The
+     * decision is made once, so that one sound version in a thousand is rolled back on a route.
+     */
+    static final double SUSPICION_PROBABILITY = 1e-3;
+
     /**
      * Sample that is added to that of the old version if it has hardly answered, for instance because its targets are
      * down. The stated false alarm probability then holds for sound versions with at most one bad response in twenty.
@@ -66,6 +73,29 @@
             Map<String, VersionCounts> newCounts,
             Map<String, VersionCounts> oldCounts,
             boolean moved) {
+        return decide(elapsed, duration, newCounts, oldCounts, moved, false);
+    }
+
+    /**
+     * Decides while the new version gets all requests, as {@link #decide}. A suspicion no longer takes the move back:
+     * other gateways may complete the order, and the old version has no new responses to compare with.
+     */
+    public static RolloutStep decideWhileMoving(
+            Duration elapsed,
+            Duration duration,
+            Map<String, VersionCounts> newCounts,
+            Map<String, VersionCounts> oldCounts,
+            boolean moved) {
+        return decide(elapsed, duration, newCounts, oldCounts, moved, true);
+    }
+
+    private static RolloutStep decide(
+            Duration elapsed,
+            Duration duration,
+            Map<String, VersionCounts> newCounts,
+            Map<String, VersionCounts> oldCounts,
+            boolean moved,
+            boolean moving) {
         if (isBad(newCounts, oldCounts)) {
             return RolloutStep.ROLL_BACK;
         }
@@ -80,6 +110,9 @@
         if (fraction < MOVE_FRACTION) {
             return RolloutStep.EXPOSE;
         }
+        if (!moving && isWorse(newCounts, oldCounts, SUSPICION_PROBABILITY)) {
+            return fraction < UNDECIDED_FRACTION ? RolloutStep.EXPOSE : RolloutStep.ROLL_BACK;
+        }
         return moved || fraction >= END_FRACTION ? RolloutStep.COMPLETE : RolloutStep.MOVE;
     }
 
@@ -91,17 +124,22 @@
      * @param oldCounts counts of the other versions by route
      */
     public static boolean isBad(Map<String, VersionCounts> newCounts, Map<String, VersionCounts> oldCounts) {
+        return isWorse(newCounts, oldCounts, FALSE_ALARM_PROBABILITY);
+    }
+
+    private static boolean isWorse(
+            Map<String, VersionCounts> newCounts, Map<String, VersionCounts> oldCounts, double probability) {
         VersionCounts allNew = VersionCounts.NONE;
         VersionCounts allOld = VersionCounts.NONE;
         for (Map.Entry<String, VersionCounts> route : newCounts.entrySet()) {
             VersionCounts before = oldCounts.getOrDefault(route.getKey(), VersionCounts.NONE);
-            if (before.ended() >= MIN_ENDED && isWorse(route.getValue(), before)) {
+            if (before.ended() >= MIN_ENDED && isWorse(route.getValue(), before, probability)) {
                 return true;
             }
             allNew = allNew.plus(route.getValue());
             allOld = allOld.plus(before);
         }
-        return isWorse(allNew, allOld.ended() < MIN_ENDED ? allOld.plus(ASSUMED_OLD) : allOld);
+        return isWorse(allNew, allOld.ended() < MIN_ENDED ? allOld.plus(ASSUMED_OLD) : allOld, probability);
     }
 
     /**
@@ -113,9 +151,9 @@
         return newCounts.values().stream().mapToLong(VersionCounts::bad).sum() >= MAX_BAD;
     }
 
-    private static boolean isWorse(VersionCounts newCounts, VersionCounts oldCounts) {
+    private static boolean isWorse(VersionCounts newCounts, VersionCounts oldCounts, double probability) {
         return newCounts.bad() >= MIN_BAD
                 && FisherTest.upperTail(newCounts.bad(), newCounts.ended(), oldCounts.bad(), oldCounts.ended())
-                        < FALSE_ALARM_PROBABILITY;
+                        < probability;
     }
 }
--- a/masticfold-core/src/test/java/io/masticfold/core/rollout/RolloutPolicyTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/rollout/RolloutPolicyTests.java
@@ -171,4 +171,31 @@
     void failingVersionIsRolledBackWithoutResponsesOfTheOldOne() {
         assertThat(decide(0.7, route("r", 0, 12, 0), Map.of(), true)).isEqualTo(RolloutStep.ROLL_BACK);
     }
+
+    /**
+     * Load: few requests, of which nearly all are slow at the new version and a few at the old one. A version that is
+     * completed on so little evidence would get all requests although it is bad.
+     */
+    @ParameterizedTest
+    @CsvSource({"0.65, EXPOSE", "0.85, EXPOSE", "0.95, ROLL_BACK"})
+    void versionThatIsLikelyBadIsNotMovedTo(double fraction, RolloutStep step) {
+        Map<String, VersionCounts> newCounts = Map.of("r", new VersionCounts(11, 2, 0, 9));
+        Map<String, VersionCounts> oldCounts = Map.of("r", new VersionCounts(36, 31, 0, 5));
+
+        assertThat(RolloutPolicy.isBad(newCounts, oldCounts)).isFalse();
+        assertThat(RolloutPolicy.decide(
+                        Duration.ofMillis((long) (fraction * 10_000)),
+                        Duration.ofSeconds(10),
+                        newCounts,
+                        oldCounts,
+                        true))
+                .isEqualTo(step);
+        assertThat(RolloutPolicy.decideWhileMoving(
+                        Duration.ofMillis((long) (fraction * 10_000)),
+                        Duration.ofSeconds(10),
+                        newCounts,
+                        oldCounts,
+                        true))
+                .isEqualTo(RolloutStep.COMPLETE);
+    }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/rollout/Rollout.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/rollout/Rollout.java
@@ -133,12 +133,13 @@
         changed |= movedNow != ownMoved;
         ownMoved = movedNow;
         if (!order.state().last() && step != RolloutStep.ROLL_BACK) {
-            RolloutStep next = RolloutPolicy.decide(
-                    Duration.ofNanos(nowNanos - startNanos),
-                    order.duration(),
-                    evidence.byRoute(order.version(), true),
-                    evidence.byRoute(order.version(), false),
-                    ownMoved && movedPeers.containsAll(peers));
+            Duration elapsed = Duration.ofNanos(nowNanos - startNanos);
+            Map<String, VersionCounts> newCounts = evidence.byRoute(order.version(), true);
+            Map<String, VersionCounts> oldCounts = evidence.byRoute(order.version(), false);
+            boolean moved = ownMoved && movedPeers.containsAll(peers);
+            RolloutStep next = step == RolloutStep.MOVE
+                    ? RolloutPolicy.decideWhileMoving(elapsed, order.duration(), newCounts, oldCounts, moved)
+                    : RolloutPolicy.decide(elapsed, order.duration(), newCounts, oldCounts, moved);
             // Completion is taken back only for a version that turns out bad before the state is stored.
             step = step != RolloutStep.COMPLETE || foundBad() ? next : step;
         }
