--- /dev/null
+++ b/review/harness-2/src/Gateway.java
@@ -0,0 +1,121 @@
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** One gateway: the command of the deploy file with its settings template, on a loopback address of its own. */
+final class Gateway {
+
+    final String node;
+    final String zone;
+    final InetAddress ip;
+    final int front;
+    final int ready;
+    private final Process process;
+
+    private Gateway(String node, String zone, InetAddress ip, int front, int ready, Process process) {
+        this.node = node;
+        this.zone = zone;
+        this.ip = ip;
+        this.front = front;
+        this.ready = ready;
+        this.process = process;
+    }
+
+    static int freePort(InetAddress ip) throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, ip)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /**
+     * Starts a gateway.
+     *
+     * @param seeds control addresses of the first machines
+     * @param peerPort first port of the range, the same on all machines
+     */
+    static Gateway start(
+            String node,
+            String zone,
+            InetAddress ip,
+            int peerPort,
+            List<String> seeds,
+            String store,
+            Map<String, String> bounds,
+            Path folder)
+            throws IOException {
+        int front = freePort(ip);
+        int ready = freePort(ip);
+        String host = ip.getHostAddress();
+        String text = Files.readString(Path.of("deploy/gateway.json"));
+        text = Pattern.compile("\\{\\{#bounds\\.expose_share}}.*?\\{\\{/bounds\\.expose_share}}", Pattern.DOTALL)
+                .matcher(text)
+                .replaceAll("");
+        List<String> quoted = new ArrayList<>();
+        seeds.forEach(seed -> quoted.add('"' + seed + '"'));
+        text = Pattern.compile("\\{\\{#seeds}}.*?\\{\\{/seeds}}", Pattern.DOTALL)
+                .matcher(text)
+                .replaceAll(Matcher.quoteReplacement(String.join(",", quoted)));
+        text = text.replace("{{node}}", node)
+                .replace("{{zone}}", zone)
+                .replace("{{listen.front}}", host + ":" + front)
+                .replace("{{listen.ready}}", host + ":" + ready)
+                .replace("{{ip}}", host)
+                .replace("{{port_range.0}}", Integer.toString(peerPort))
+                .replace("{{platform.address}}", store);
+        for (Map.Entry<String, String> bound : bounds.entrySet()) {
+            text = text.replace("{{bounds." + bound.getKey() + "}}", bound.getValue());
+        }
+        if (text.contains("{{")) {
+            throw new IOException("the template has a placeholder that is not filled in: " + text);
+        }
+        Path settings = folder.resolve(node + ".json");
+        Files.writeString(settings, text);
+        Matcher run = Pattern.compile("(?m)^run = \"(.*)\"$").matcher(Files.readString(Path.of("deploy/system.toml")));
+        if (!run.find()) {
+            throw new IOException("deploy/system.toml has no command");
+        }
+        ProcessBuilder builder = new ProcessBuilder(List.of(run.group(1).split(" ")));
+        builder.environment().put("MASTICFOLD_NODE_FILE", settings.toString());
+        builder.redirectErrorStream(true).redirectOutput(folder.resolve(node + ".log").toFile());
+        return new Gateway(node, zone, ip, front, ready, builder.start());
+    }
+
+    boolean isReady() {
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress(ip, ready), 500);
+            socket.setSoTimeout(500);
+            Http.write(socket.getOutputStream(), "GET /-/ready HTTP/1.1", Map.of("Host", "ready"), null);
+            return Http.head(socket.getInputStream()).status() == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    boolean awaitReady(long millis) {
+        long end = Record.millis() + millis;
+        while (Record.millis() < end) {
+            if (isReady()) {
+                return true;
+            }
+            Threads.sleep(100);
+        }
+        return false;
+    }
+
+    boolean alive() {
+        return process.isAlive();
+    }
+
+    void kill() {
+        process.destroyForcibly();
+    }
+}
