--- a/review/harness-2/src/ModelServer.java
+++ b/review/harness-2/src/ModelServer.java
@@ -21,6 +21,7 @@
     private final Predicate<Http.Message> crashes;
     private final Runnable onCrash;
     private final long downMillis;
+    private final boolean requiresInputs;
     private volatile Registration registration;
     private volatile Http.Server server;
     private boolean down;
@@ -43,6 +44,28 @@
             Runnable onCrash,
             long downMillis)
             throws IOException {
+        this(store, ip, service, zone, events, firstEventMillis, gapMillis, crashes, onCrash, downMillis, false);
+    }
+
+    /**
+     * Starts a server of routes with stages or without.
+     *
+     * @param requiresInputs whether it rejects requests without handles of stage results
+     */
+    ModelServer(
+            Store store,
+            InetAddress ip,
+            String service,
+            String zone,
+            int events,
+            long firstEventMillis,
+            long gapMillis,
+            Predicate<Http.Message> crashes,
+            Runnable onCrash,
+            long downMillis,
+            boolean requiresInputs)
+            throws IOException {
+        this.requiresInputs = requiresInputs;
         this.store = store;
         this.ip = ip;
         this.service = service;
@@ -89,6 +112,12 @@
             Http.write(connection.out, "HTTP/1.1 421 Misdirected Request", headers, new byte[0]);
             return true;
         }
+        if (requiresInputs && request.header("x-masticfold-inputs").isEmpty()) {
+            Record.note(id + " rejects " + attempt + ": X-Masticfold-Inputs is missing");
+            headers.put("X-Masticfold-Not-Executed", "1");
+            Http.write(connection.out, "HTTP/1.1 400 Bad Request", headers, new byte[0]);
+            return true;
+        }
         Record.note("run " + attempt + " at " + id + " tenant " + request.header("x-masticfold-tenant") + " prompt "
                 + request.header("x-masticfold-prompt-prefix"));
         Threads.sleep(firstEventMillis);
--- a/review/harness-2/src/StageServer.java
+++ b/review/harness-2/src/StageServer.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 
 /** A stage server: works on one call at a time, keeps the results, and may turn one call away with Retry-After. */
 final class StageServer {
@@ -21,6 +22,7 @@
     private final String address;
     private final long callMillis;
     private final long itemMillis;
+    private final Consumer<Map<String, Object>> onItem;
     private final Semaphore turn = new Semaphore(1, true);
     private final AtomicInteger calls = new AtomicInteger();
     private final AtomicLong handles = new AtomicLong();
@@ -30,6 +32,24 @@
 
     StageServer(Store store, InetAddress ip, String service, String zone, long callMillis, long itemMillis)
             throws IOException {
+        this(store, ip, service, zone, callMillis, itemMillis, item -> {});
+    }
+
+    /**
+     * Starts a server.
+     *
+     * @param onItem told each piece that the server is asked for
+     */
+    StageServer(
+            Store store,
+            InetAddress ip,
+            String service,
+            String zone,
+            long callMillis,
+            long itemMillis,
+            Consumer<Map<String, Object>> onItem)
+            throws IOException {
+        this.onItem = onItem;
         this.callMillis = callMillis;
         this.itemMillis = itemMillis;
         this.id = "i-" + service + "-" + NUMBERS.incrementAndGet();
@@ -73,6 +93,7 @@
 
     private void run(Http.Message request, Http.Connection connection, Map<String, String> headers) throws IOException {
         List<Object> items = Json.array(Json.object(Json.parse(request.text())).get("items"));
+        items.forEach(item -> onItem.accept(Json.object(item)));
         int pause = retryAfterSeconds;
         if (pause > 0) {
             retryAfterSeconds = 0;
