Replace review case 10 by an entry: streams hold events of two versions

Model servers crash in turn and come back under their ids with another software version; while an entry is still that of before, streams of the old version are taken up there.

Code at fault: StreamVersionBinding, VersionRequirement and TargetSelection take the version of the directory's entry; nothing ties an answer to the incarnation that the entry describes.

--- a/review/harness-2/src/Case10.java
+++ b/review/harness-2/src/Case10.java
@@ -1,20 +1,36 @@
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Some requests omit a stage: its number of pieces is 0. */
+/** Model servers crash one after the other; each is back under its id, with another software version. */
 final class Case10 {
 
     private static final String KEY = "key-of-the-shed-0001";
     private static final String HOST = "pule25.example";
-    private static final String[] FULL = {"2,3,1"};
-    private static final String[] OMITTING = {"2,3,1", "0,3,1", "2,0,1", "2,3,0"};
+    private static final int SERVERS = 8;
+    private static final int RESTARTS = 6;
+    private static final long DOWN_MILLIS = 1000;
+    /** A server that is back writes its entry with its first heartbeat. */
+    private static final long REGISTERS_AFTER_MILLIS = Registration.HEARTBEAT_MILLIS;
+    private static final long BETWEEN_CRASHES_MILLIS = 1900;
     private static final long TRAFFIC_FROM = 7000;
-    private static final long END = TRAFFIC_FROM + 12_000;
+    private static final long FIRST_CRASH = TRAFFIC_FROM + 5000;
+    private static final long TRAFFIC_UNTIL = FIRST_CRASH + SERVERS * BETWEEN_CRASHES_MILLIS + 2000;
+    private static final long DEADLINE_MILLIS = 8000;
+    /** More streams than these must not hold events of two versions. */
+    private static final int ALLOWED = 2;
 
     public static void main(String[] args) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
@@ -24,27 +40,10 @@
         InetAddress platform = net.address(1);
         Store store = new Store(platform);
         store.put("config", "main", config());
-        Map<String, String> keys = new ConcurrentHashMap<>();
-        Map<String, String> counts = new ConcurrentHashMap<>();
-        AtomicInteger asked = new AtomicInteger();
-        AtomicInteger otherKey = new AtomicInteger();
-        String[] stages = {"scan", "portal", "docs"};
-        for (int server = 0; server < 4; server++) {
+        List<VersionedServer> servers = new ArrayList<>();
+        for (int server = 0; server < SERVERS; server++) {
             String zone = server % 2 == 0 ? "zone-a" : "zone-b";
-            for (int stage = 0; stage < stages.length; stage++) {
-                new StageServer(store, net.address(40 + 10 * stage + server), stages[stage], zone, 60, 10, item -> {
-                    asked.incrementAndGet();
-                    String attempt = String.valueOf(item.get("id"));
-                    Object key = item.get("key");
-                    if (key != null && !key.equals(keys.get(attempt))) {
-                        otherKey.incrementAndGet();
-                        Record.note("ANOTHER KEY: " + Json.write(item) + " of a request with pieces "
-                                + counts.get(attempt) + " and key " + keys.get(attempt));
-                    }
-                });
-            }
-            new ModelServer(
-                    store, net.address(20 + server), "llm", zone, 10, 60, 20, request -> false, () -> {}, 4000, true);
+            servers.add(new VersionedServer(store, net.address(20 + server), "i-llm-" + server, zone, "v1"));
         }
         InetAddress ipA = net.address(11);
         InetAddress ipB = net.address(12);
@@ -58,45 +57,34 @@
                 Record.result("the gateways are not ready");
                 System.exit(2);
             }
-            String[] kinds = trouble ? OMITTING : FULL;
-            Map<String, AtomicInteger> sent = new ConcurrentHashMap<>();
-            Map<String, AtomicInteger> served = new ConcurrentHashMap<>();
-            int number = 0;
-            for (long at = TRAFFIC_FROM; at < END; at += 150) {
-                Threads.until(at);
-                String pieces = kinds[number % kinds.length];
-                Gateway gateway = number / kinds.length % 2 == 0 ? a : b;
-                number++;
-                Threads.start("request", () -> {
-                    String attempt = Deployment.attemptId();
-                    keys.put(attempt, "7c1e" + attempt.substring(0, 8));
-                    counts.put(attempt, pieces);
-                    Map<String, String> headers = new LinkedHashMap<>();
-                    headers.put("X-Masticfold-Attempt-Id", attempt);
-                    headers.put("X-Masticfold-Model", "m");
-                    headers.put("X-Masticfold-Token-Count", "1400,60");
-                    headers.put("X-Masticfold-Prompt-Prefix", "b2e1f00d:600," + attempt.substring(0, 8) + ":200");
-                    headers.put("X-Masticfold-Pieces", pieces);
-                    headers.put("X-Masticfold-Piece-Key", keys.get(attempt));
-                    headers.put("Authorization", "Bearer " + KEY);
-                    sent.computeIfAbsent(pieces, key -> new AtomicInteger()).incrementAndGet();
-                    Client.Answer answer = Client.send(
-                            gateway, "POST", "/puxa400/2f", HOST, headers, ("prompt " + attempt).getBytes(), 8000);
-                    served.computeIfAbsent(pieces, key -> new AtomicInteger()).addAndGet(answer.served() ? 1 : 0);
-                    Record.note("request " + attempt + " with pieces " + pieces + " at " + gateway.node + ": status "
-                            + answer.status() + ", " + answer.events() + " events "
-                            + (answer.served() ? "complete" : answer.detail()));
-                });
+            AtomicInteger streams = new AtomicInteger();
+            AtomicInteger whole = new AtomicInteger();
+            AtomicInteger mixed = new AtomicInteger();
+            Threads.start("traffic", () -> {
+                int number = 0;
+                for (long at = TRAFFIC_FROM; at < TRAFFIC_UNTIL; at += 50) {
+                    Threads.until(at);
+                    Gateway gateway = number++ % 2 == 0 ? a : b;
+                    Threads.start("stream", () -> {
+                        streams.incrementAndGet();
+                        Set<String> versions = new TreeSet<>();
+                        whole.addAndGet(stream(gateway, versions) ? 1 : 0);
+                        mixed.addAndGet(versions.size() > 1 ? 1 : 0);
+                    });
+                }
+            });
+            for (int restart = 0; trouble && restart < RESTARTS; restart++) {
+                Threads.until(FIRST_CRASH + restart * BETWEEN_CRASHES_MILLIS);
+                servers.get(restart).restart("v2", DOWN_MILLIS, REGISTERS_AFTER_MILLIS);
             }
-            Threads.until(END + 6000);
-            Record.result("requests by pieces: sent " + sent + ", served " + served);
-            Record.result("pieces that servers were asked for: " + asked + ", with another key: " + otherKey);
-            if (!a.alive() || !b.alive() || asked.get() < 50) {
+            Threads.until(TRAFFIC_UNTIL + DEADLINE_MILLIS + 500);
+            Record.result("streams: " + streams + ", whole: " + whole + ", with events of two software versions: " + mixed);
+            if (!a.alive() || !b.alive() || streams.get() < 300) {
                 Record.result("the case could not run");
                 System.exit(2);
             }
-            boolean broken = otherKey.get() > 0;
-            Record.result(broken ? "UNASKED is broken" : "UNASKED holds");
+            boolean broken = mixed.get() > ALLOWED;
+            Record.result(broken ? "ORDER is broken" : "ORDER holds");
             System.exit(broken ? 1 : 0);
         } finally {
             a.kill();
@@ -104,23 +92,58 @@
         }
     }
 
-    private static String stagePool(String name) {
-        return ",{\"name\":\"" + name + "\",\"health_path\":\"/health\",\"max_connections\":360,\"protocol\":\"h1\","
-                + "\"tls\":false,\"cold_start_s\":0.0,\"cold_per_s\":0.0,\"pieces\":{\"slots\":1,\"queue\":2,\"batch\":6,"
-                + "\"call_ms\":60.0,\"item_ms\":10.0,\"headroom_mb\":27.0,\"handle_s\":4.0,\"link_mbps\":10000}}";
+    /** Reads one stream; returns whether it was whole. */
+    private static boolean stream(Gateway gateway, Set<String> versions) {
+        String attempt = Deployment.attemptId();
+        Map<String, String> headers = new LinkedHashMap<>();
+        headers.put("Host", HOST);
+        headers.put("X-Masticfold-Attempt-Id", attempt);
+        headers.put("X-Masticfold-Model", "m");
+        headers.put("X-Masticfold-Token-Count", "1400,60");
+        headers.put("X-Masticfold-Prompt-Prefix", "b2e1f00d:600," + attempt.substring(0, 8) + ":200");
+        headers.put("X-Masticfold-Deadline-Ms", Long.toString(DEADLINE_MILLIS));
+        headers.put("Authorization", "Bearer " + KEY);
+        StringBuilder text = new StringBuilder();
+        boolean complete = false;
+        int status = 0;
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress(gateway.ip, gateway.front), 1000);
+            socket.setSoTimeout((int) DEADLINE_MILLIS + 500);
+            Http.write(socket.getOutputStream(), "POST /puxa400/2f HTTP/1.1", headers, "prompt".getBytes());
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            Http.Message head = Http.head(in);
+            status = head.status();
+            if (status == 200) {
+                for (int size = Http.chunkSize(in); size > 0; size = Http.chunkSize(in)) {
+                    text.append(new String(Http.exactly(in, size), StandardCharsets.UTF_8));
+                    Http.line(in);
+                }
+                complete = true;
+            }
+        } catch (IOException e) {
+            Record.note("stream " + attempt + " at " + gateway.node + " breaks off: " + e.getMessage());
+        }
+        StringBuilder order = new StringBuilder();
+        for (String line : text.toString().split("\n")) {
+            if (line.startsWith("data: token of ")) {
+                String version = line.substring("data: token of ".length());
+                versions.add(version);
+                order.append(version).append(' ');
+            }
+        }
+        Record.note("stream " + attempt + " at " + gateway.node + ": status " + status + (complete ? ", whole" : "")
+                + (versions.size() > 1 ? ", EVENTS OF TWO VERSIONS: " + order : ""));
+        return complete;
     }
 
     private static Object config() {
         return Json.parse("{\"version\":7,\"routes\":[{\"name\":\"r-certify\",\"host\":\"" + HOST
                 + "\",\"path_prefix\":\"/puxa400/\",\"kind\":\"stream\",\"timeout_ms\":8000,\"target_latency_ms\":1000,"
-                + "\"priority\":0,\"service\":\"llm\",\"max_attempts\":2,\"stages\":["
-                + "{\"service\":\"scan\",\"after\":[],\"bytes\":8000},{\"service\":\"portal\",\"after\":[0],\"bytes\":6000},"
-                + "{\"service\":\"docs\",\"after\":[1],\"bytes\":6000}],\"public\":false,\"sticky\":true,"
+                + "\"priority\":0,\"service\":\"llm\",\"max_attempts\":2,\"public\":false,\"sticky\":true,"
                 + "\"resumable\":true,\"gap_aim_ms\":400}],\"services\":[{\"name\":\"llm\",\"health_path\":\"/health\","
                 + "\"max_connections\":360,\"protocol\":\"h1\",\"tls\":false,\"cold_start_s\":0.0,\"cold_per_s\":0.0,"
-                + "\"engine\":{\"slots\":64,\"kv_capacity_tokens\":586503}}" + stagePool("scan") + stagePool("portal")
-                + stagePool("docs") + "],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
-                + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":\"shed\",\"api_keys\":[\""
-                + KEY + "\"],\"priority\":1}]}");
+                + "\"engine\":{\"slots\":64,\"kv_capacity_tokens\":586503}}],\"limits\":{\"max_header_bytes\":16384,"
+                + "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},\"tenants\":["
+                + "{\"name\":\"shed\",\"api_keys\":[\"" + KEY + "\"],\"priority\":1}]}");
     }
 }
