--- a/review/harness-2/src/Gateway.java
+++ b/review/harness-2/src/Gateway.java
@@ -86,7 +86,17 @@
         ProcessBuilder builder = new ProcessBuilder(List.of(run.group(1).split(" ")));
         builder.environment().put("MASTICFOLD_NODE_FILE", settings.toString());
         builder.redirectErrorStream(true).redirectOutput(folder.resolve(node + ".log").toFile());
-        return new Gateway(node, zone, ip, front, ready, builder.start());
+        Process started = builder.start();
+        // System.exit runs no finally block.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            started.destroyForcibly();
+            try {
+                started.waitFor();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }));
+        return new Gateway(node, zone, ip, front, ready, started);
     }
 
     boolean isReady() {
