--- a/review/harness-2/src/Gateway.java
+++ b/review/harness-2/src/Gateway.java
@@ -20,8 +20,10 @@
     final int front;
     final int ready;
     private final Process process;
+    private final Path log;
 
-    private Gateway(String node, String zone, InetAddress ip, int front, int ready, Process process) {
+    private Gateway(String node, String zone, InetAddress ip, int front, int ready, Process process, Path log) {
+        this.log = log;
         this.node = node;
         this.zone = zone;
         this.ip = ip;
@@ -36,6 +38,14 @@
         }
     }
 
+    private static int freePort(InetAddress ip, int taken, int alsoTaken) throws IOException {
+        int port = freePort(ip);
+        while (port == taken || port == alsoTaken) {
+            port = freePort(ip);
+        }
+        return port;
+    }
+
     /**
      * Starts a gateway.
      *
@@ -52,8 +62,8 @@
             Map<String, String> bounds,
             Path folder)
             throws IOException {
-        int front = freePort(ip);
-        int ready = freePort(ip);
+        int front = freePort(ip, peerPort, peerPort);
+        int ready = freePort(ip, peerPort, front);
         String host = ip.getHostAddress();
         String text = Files.readString(Path.of("deploy/gateway.json"));
         text = Pattern.compile("\\{\\{#bounds\\.expose_share}}.*?\\{\\{/bounds\\.expose_share}}", Pattern.DOTALL)
@@ -85,7 +95,8 @@
         }
         ProcessBuilder builder = new ProcessBuilder(List.of(run.group(1).split(" ")));
         builder.environment().put("MASTICFOLD_NODE_FILE", settings.toString());
-        builder.redirectErrorStream(true).redirectOutput(folder.resolve(node + ".log").toFile());
+        Path log = folder.resolve(node + ".log");
+        builder.redirectErrorStream(true).redirectOutput(log.toFile());
         Process started = builder.start();
         // System.exit runs no finally block.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -96,7 +107,7 @@
                 Thread.currentThread().interrupt();
             }
         }));
-        return new Gateway(node, zone, ip, front, ready, started);
+        return new Gateway(node, zone, ip, front, ready, started, log);
     }
 
     boolean isReady() {
@@ -118,6 +129,13 @@
             }
             Threads.sleep(100);
         }
+        Record.note(node + " is not ready, its process " + (alive() ? "runs" : "has ended") + ", front " + front
+                + ", ready " + ready);
+        try {
+            Files.readAllLines(log).stream().limit(40).forEach(Record::note);
+        } catch (IOException e) {
+            Record.note("no log: " + e);
+        }
         return false;
     }
 
