Refuse responses that are not HTTP/1.1 before they are decoded

Cause: the decoder repairs what the grammar forbids. It takes any three digits as a status, a tab or several blanks as the separator, a line feed alone as the end of a line, a folded line, an empty name, a blank before the colon, both a length and chunks, and it drops what follows a chunk up to the next line feed. What it makes of it went on as the response.

Change: ResponseSyntax follows the bytes of each response, interim ones and trailers included, by the grammar of RFC 9112 before they reach the decoder; SyntaxState says what may come next. Another byte fails the exchange and closes the connection: 502, tried again like any other malformed response. All responses that the gateway reads come through this client: targets, streams, stages, health, store.

Tests: of the 80 malformed rows of MalformedResponseTests 27 were passed on before, none now; its 15 sound responses pass before and after. Each byte value at each place of a head is compared with a recognizer written as expressions.

Not covered: entry, agent and the CLI, which read responses with another library.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpClient.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpClient.java
@@ -3,6 +3,7 @@
 import io.masticfold.core.memory.MemoryAccount;
 import io.masticfold.core.time.TimeSource;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -18,6 +19,7 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeadersFactory;
+import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -159,8 +161,11 @@
                                 .addLast(new ChannelInboundHandlerAdapter() {
                                     @Override
                                     public void channelRead(ChannelHandlerContext context, Object bytes) {
-                                        connection.bytesReceived();
-                                        context.fireChannelRead(bytes);
+                                        if (connection.bytesReceived((ByteBuf) bytes)) {
+                                            context.fireChannelRead(bytes);
+                                        } else {
+                                            ReferenceCountUtil.release(bytes);
+                                        }
                                     }
                                 })
                                 .addLast(new HttpClientCodec(
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
@@ -1,6 +1,7 @@
 package io.masticfold.gateway.http;
 
 import io.masticfold.core.time.TimeSource;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -32,6 +33,7 @@
     private final TimeSource time;
     private final ReadThrottle throttle;
     private final long connectNanos;
+    private final ResponseSyntax syntax = new ResponseSyntax();
     private long roundTripNanos;
     private long sentNanos;
     private @Nullable Channel channel;
@@ -73,6 +75,7 @@
         sent = true;
         sentNanos = time.nanoTime();
         exchanges++;
+        syntax.begin(request.method());
         Channel open = channel;
         if (open == null) {
             throw new IllegalStateException("connection to " + address + " is not open");
@@ -121,14 +124,24 @@
         }
     }
 
-    /** Called for all bytes that the server has sent, before they are decoded. */
-    void bytesReceived() {
+    /**
+     * Called for all bytes that the server has sent, before they are decoded.
+     *
+     * @return whether they may be decoded
+     */
+    boolean bytesReceived(ByteBuf bytes) {
         throttle.bytesReceived();
         if (listener == null) {
             // Bytes between two responses may be the first ones of a response that the decoder cannot report yet.
             close();
         }
         responseBegun = true;
+        String problem = syntax.problem(bytes);
+        if (problem != null) {
+            fail(ExchangeFailure.BROKEN, "malformed response: " + problem);
+            close();
+        }
+        return problem == null;
     }
 
     @Override
