Do not take the end of a server that has not read the request for the end of its response

Cause: a server that closes its connection while the request is under way sends FIN, and RST only when more of the request arrives. The client closed at the FIN and took it for the end of the body; the reset that followed was never noticed.

Evidence: EarlyResponseTests, uploads of 64 KiB, 1 MiB and 16 MiB. Before, 4 of 15 shapes gave the part as a whole: a close with unread input, and a close after part of it was read, for 64 KiB and 1 MiB. All 15 fail the exchange now; complete responses after the upload and refusals with a length pass (8 rows, before and after).

Change: the client keeps its side open after the server's FIN. A response without a length to a request with a body is whole only if the request was written before its end and the connection still takes two bytes two round trips later (ResetProbe): a reset after a FIN shows in a write only. Requests without a body are as before.

Ruled out: reading on after the FIN, which returns the end of the stream again; SO_ERROR and TCP_INFO, which Java does not offer.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpClient.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpClient.java
@@ -145,6 +145,7 @@
                 .group(group)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.SO_KEEPALIVE, true)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_SECONDS)
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -44,6 +45,10 @@
     private boolean responseBegun;
     private boolean headSeen;
     private boolean closeAfterResponse;
+    private boolean endsWithConnection;
+    private boolean hasRequestBody;
+    private boolean requestWritten;
+    private boolean awaitingReset;
     private boolean sent;
     private boolean cancelled;
 
@@ -76,12 +81,17 @@
         sentNanos = time.nanoTime();
         exchanges++;
         syntax.begin(request.method());
+        endsWithConnection = false;
+        hasRequestBody = request.content().isReadable();
+        requestWritten = false;
         Channel open = channel;
         if (open == null) {
             throw new IllegalStateException("connection to " + address + " is not open");
         }
         open.writeAndFlush(request).addListener(written -> {
-            if (!written.isSuccess() && listener == nextListener) {
+            if (written.isSuccess()) {
+                requestWritten = true;
+            } else if (listener == nextListener) {
                 // The close that follows looks like the end of a response without a length.
                 fail(closedByServer(), "the request could not be written: " + written.cause());
                 close();
@@ -97,7 +107,7 @@
     @Override
     public boolean cancel() {
         cancelled = true;
-        listener = null;
+        detachListener();
         releaseUnsent();
         Channel open = channel;
         if (open != null) {
@@ -229,6 +239,7 @@
         headSeen = true;
         boolean framed = response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
                 || HttpUtil.isTransferEncodingChunked(response);
+        endsWithConnection = !framed;
         closeAfterResponse = !HttpUtil.isKeepAlive(response) || !framed;
         ExchangeListener receiver = listener;
         if (receiver != null) {
@@ -237,7 +248,39 @@
     }
 
     private void end(ChannelHandlerContext context, ExchangeListener receiver) {
-        listener = null;
+        if (endsWithConnection && hasRequestBody) {
+            endWithConnection(context, receiver);
+        } else {
+            complete(context, receiver);
+        }
+    }
+
+    /** Ends a response that has no length: its end looks like that of a connection that is closed too early. */
+    private void endWithConnection(ChannelHandlerContext context, ExchangeListener receiver) {
+        if (!requestWritten || !context.channel().isActive()) {
+            failUnread(context);
+            return;
+        }
+        awaitingReset = true;
+        ResetProbe.start(context, roundTripNanos, open -> {
+            if (listener != receiver) {
+                return;
+            }
+            if (open) {
+                complete(context, receiver);
+            } else {
+                failUnread(context);
+            }
+        });
+    }
+
+    private void failUnread(ChannelHandlerContext context) {
+        fail(closedByServer(), "connection closed by the server before it had read the whole request");
+        context.close();
+    }
+
+    private void complete(ChannelHandlerContext context, ExchangeListener receiver) {
+        detachListener();
         throttle.setCallerReady(true);
         if (closeAfterResponse) {
             context.close();
@@ -255,6 +298,14 @@
         }
     }
 
+    /** The server has ended its output; the decoder has reported the end of a response that ends so. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent && !awaitingReset) {
+            context.close();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext _context) {
         owner.removeIdle(this);
@@ -280,12 +331,16 @@
 
     private void fail(ExchangeFailure failure, String detail) {
         ExchangeListener receiver = listener;
-        listener = null;
+        detachListener();
         if (receiver != null) {
             receiver.failed(failure, detail);
         }
     }
 
+    private void detachListener() {
+        listener = null;
+    }
+
     private void releaseUnsent() {
         FullHttpRequest request = unsent;
         unsent = null;
