Count heads and undecoded lines of responses against the memory of all responses

Seen in a test: a hundred responses that stop within 48 KiB of a head or of trailers hold 4.8 MB beside an account of 1 MB, and nothing of it is counted. Each was bounded (64 KiB, 128 fields), their sum was not: as many connections as the targets allow, times 64 KiB, exceed the heap of the deploy file.

Change: UndecodedBytes reserves what arrives before the body, twice, as it is kept as text, until the exchange ends, and what arrives after it until a part of the body is decoded. Without memory the exchange fails and its connection closes.

Tests: UndecodedBytesTests failed before in 3 of 6 rows (a field, many fields, trailers; a status line has a lower limit of its own), passes now; the reservations are back at zero after each.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
@@ -35,6 +35,7 @@
     private final ReadThrottle throttle;
     private final long connectNanos;
     private final ResponseSyntax syntax = new ResponseSyntax();
+    private final UndecodedBytes undecoded;
     private long roundTripNanos;
     private long sentNanos;
     private @Nullable Channel channel;
@@ -57,6 +58,7 @@
         this.address = address;
         this.time = time;
         this.throttle = new ReadThrottle(owner.readShares(), address, false, ProcessorTime::ofCurrentThread);
+        this.undecoded = new UndecodedBytes(owner.responseMemory());
         this.connectNanos = time.nanoTime();
     }
 
@@ -150,8 +152,15 @@
         if (problem != null) {
             fail(ExchangeFailure.BROKEN, "malformed response: " + problem);
             close();
+            return false;
         }
-        return problem == null;
+        int length = bytes.readableBytes();
+        if (listener != null && !(headSeen ? undecoded.addToBody(length) : undecoded.addToHead(length))) {
+            fail(ExchangeFailure.BROKEN, "no memory for the response");
+            close();
+            return false;
+        }
+        return true;
     }
 
     @Override
@@ -214,6 +223,7 @@
         ExchangeListener receiver = listener;
         if (receiver != null && message instanceof HttpContent content && headSeen) {
             if (content.content().isReadable()) {
+                undecoded.bodyDecoded();
                 receiver.content(content.content());
             }
             if (message instanceof LastHttpContent && listener == receiver) {
@@ -339,6 +349,7 @@
 
     private void detachListener() {
         listener = null;
+        undecoded.release();
     }
 
     private void releaseUnsent() {
--- a/masticfold-gateway/src/test/java/io/masticfold/gateway/http/SentResponse.java
+++ b/masticfold-gateway/src/test/java/io/masticfold/gateway/http/SentResponse.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway.http;
 
+import io.masticfold.core.memory.MemoryAccount;
 import io.masticfold.core.time.TimeSource;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -20,6 +21,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 
 /** Sends requests with the client under test to a server that answers each connection as a test says. */
@@ -36,7 +38,16 @@
     }
 
     SentResponse(Answer answer) throws IOException {
-        this.client = new HttpClient(group, TimeSource.system());
+        this(CallerMemory.accountOfProcess(), answer);
+    }
+
+    /**
+     * Starts the server.
+     *
+     * @param account counts the memory of the responses
+     */
+    SentResponse(MemoryAccount account, Answer answer) throws IOException {
+        this.client = new HttpClient(group, TimeSource.system(), account);
         this.answer = answer;
         this.server = new ServerSocket(0, 500, InetAddress.getLoopbackAddress());
         Thread thread = new Thread(this::accept);
@@ -88,6 +99,11 @@
         return result;
     }
 
+    /** Returns the memory that is reserved for responses, in bytes. */
+    long reservedBytes() throws InterruptedException, ExecutionException {
+        return group.submit(() -> client.responseMemory().reservedBytes()).get();
+    }
+
     @Override
     public void close() throws IOException {
         server.close();
