Tell a connection to the store that fell silent from a store that is away

Cause: a watch on a silent connection timed out after 3.2 s, and the time since the last answer counted as an outage of the store, long enough for registrations to lapse. The next answer began the grace in which removed entries are kept for 2.5 s. Evidence, from the logs kept of review/8: MF6012 'no response within 3200 ms' of a kind that seldom changes, MF6013 0.05 to 2.5 s later, requests to the removed server until 2.5 s after it.

Change: a watch that should have returned is checked over a new connection after 100 ms (CheckedRead); if the check returns first, the watches of all kinds and the idle connections are replaced. The reader's watches return every 2.2 s, one kind after the other. A call without an answer is no outage while the store has answered this gateway or a peer within the shortest outage in which entries can lapse. A watch after a failed one returns at once. An entry that was written since the outage is removed at once.

TargetTableTests has a row for each kind of renewal.

Tried and dropped: to judge a quiet watch of targets by how often it usually returns.

UnfinishedHeadProcessTests guards the memory of thousands of unfinished heads in a process; it passed on, too.

--- a/masticfold-core/src/main/java/io/masticfold/core/directory/SharedReadSchedule.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/directory/SharedReadSchedule.java
@@ -52,6 +52,17 @@
         return Duration.ofNanos(time.nanoTime() - ownReadNanos);
     }
 
+    /** Returns the time since the store answered a read of any gateway, whatever it found. */
+    public Duration latestReadAge() {
+        long latest = ownReadNanos;
+        for (PeerRead read : peerReads.values()) {
+            if (read.nanos() - latest > 0) {
+                latest = read.nanos();
+            }
+        }
+        return Duration.ofNanos(time.nanoTime() - latest);
+    }
+
     /**
      * Records the latest read of a peer.
      *
--- a/masticfold-core/src/main/java/io/masticfold/core/directory/TargetTable.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/directory/TargetTable.java
@@ -12,14 +12,15 @@
 /**
  * Holds the targets registered in the service directory. Registrations expire while the directory is unavailable, since
  * the targets cannot renew them. A target whose registration is missing right after such an outage is therefore kept
- * for a grace period, in which live targets register again. A directory that was restored from a copy is treated in the
+ * for a grace period, in which live targets register again, unless it was renewed since the outage. A directory that was
+ * restored from a copy is treated in the
  * same way, and what the copy says of targets that were draining or gone before is ignored. Not safe for use by several
  * threads.
  */
 public final class TargetTable {
 
     /** Shortest outage in which registrations can expire; targets renew them more often than this. */
-    static final Duration MIN_EXPIRY_OUTAGE = Duration.ofMillis(1500);
+    public static final Duration MIN_EXPIRY_OUTAGE = Duration.ofMillis(1500);
 
     /** Time after an outage within which live targets register again. */
     static final Duration REREGISTRATION_GRACE = Duration.ofMillis(2500);
@@ -32,11 +33,14 @@
     private final Map<String, TargetRecord> targets = new HashMap<>();
     private final Map<String, Long> graceEnds = new HashMap<>();
     private final Map<String, Long> leavingNanos = new HashMap<>();
+    private final Map<String, Long> renewals = new HashMap<>();
     private Set<String> disabledZones = Set.of();
     private boolean unavailable;
     private long outageStartNanos;
     private long outageEndNanos;
     private boolean recovered;
+    private long updates;
+    private long updatesBeforeRecovery;
 
     /** Creates an empty table. */
     public TargetTable(TimeSource time) {
@@ -58,18 +62,28 @@
     /** Records that a call to the directory succeeded. */
     public void directoryAnswered() {
         if (unavailable && time.nanoTime() - outageStartNanos > MIN_EXPIRY_OUTAGE.toNanos()) {
-            recovered = true;
-            outageEndNanos = time.nanoTime();
+            recovered();
         }
         unavailable = false;
     }
 
+    private void recovered() {
+        recovered = true;
+        outageEndNanos = time.nanoTime();
+        updatesBeforeRecovery = updates;
+    }
+
+    /** Records that the changes that follow were made since those of the update before. */
+    public void beginUpdate() {
+        updates++;
+    }
+
     /** Replaces all targets by a complete list. */
     public void replaceAll(Collection<TargetRecord> records) {
         Set<String> listed = new HashSet<>();
         records.forEach(record -> {
             listed.add(record.id());
-            put(record);
+            keep(record);
         });
         Set.copyOf(targets.keySet()).stream().filter(id -> !listed.contains(id)).forEach(this::remove);
     }
@@ -79,8 +93,7 @@
      * kept for the grace period; targets that were removed before stay removed until they register again.
      */
     public void replaceAllRestored(Collection<TargetRecord> records) {
-        recovered = true;
-        outageEndNanos = time.nanoTime();
+        recovered();
         replaceAll(records.stream().filter(record -> !removedBefore(record)).toList());
     }
 
@@ -89,8 +102,14 @@
         return removal != null && removal.target().sameIncarnation(record);
     }
 
-    /** Adds or updates a target. A target that is draining keeps draining: only its next incarnation is usable. */
+    /** Adds a target, or records that it has renewed its registration. */
     public void put(TargetRecord record) {
+        renewals.put(record.id(), updates);
+        keep(record);
+    }
+
+    /** A target that is draining keeps draining: only its next incarnation is usable. */
+    private void keep(TargetRecord record) {
         TargetRecord known = targets.get(record.id());
         boolean draining = (known != null && known.draining() && known.sameIncarnation(record))
                 || leavingNanos.containsKey(record.incarnation());
@@ -122,7 +141,7 @@
     public void remove(String id) {
         if (unavailable && targets.containsKey(id)) {
             graceEnds.putIfAbsent(id, time.nanoTime() + REREGISTRATION_GRACE.toNanos());
-        } else if (inGracePeriod() && targets.containsKey(id)) {
+        } else if (inGracePeriod() && targets.containsKey(id) && !renewedSinceOutage(id)) {
             graceEnds.putIfAbsent(id, outageEndNanos + REREGISTRATION_GRACE.toNanos());
         } else {
             removeNow(id);
@@ -130,7 +149,13 @@
         }
     }
 
+    /** The first update after an outage may contain what was written before it. */
+    private boolean renewedSinceOutage(String id) {
+        return renewals.getOrDefault(id, 0L) > updatesBeforeRecovery + 1;
+    }
+
     private void removeNow(String id) {
+        renewals.remove(id);
         TargetRecord removed = targets.remove(id);
         if (removed != null) {
             removals.put(id, new Removal(removed, time.nanoTime()));
--- a/masticfold-core/src/test/java/io/masticfold/core/directory/TargetTableTests.java
+++ b/masticfold-core/src/test/java/io/masticfold/core/directory/TargetTableTests.java
@@ -181,4 +181,61 @@
         assertThat(target("a", false, 1).sameIncarnation(target("a", true, 1))).isTrue();
         assertThat(target("a", false, 1).sameIncarnation(target("a", false, 2))).isFalse();
     }
+
+    /** When a target that is removed after an outage has renewed its registration for the last time. */
+    enum Renewal {
+        BEFORE_THE_OUTAGE {
+            @Override
+            void renew(TargetTable _table) {}
+        },
+        IN_THE_FIRST_UPDATE {
+            @Override
+            void renew(TargetTable table) {
+                table.beginUpdate();
+                table.put(target("a", false, 1));
+            }
+        },
+        IN_A_LATER_LIST {
+            @Override
+            void renew(TargetTable table) {
+                table.beginUpdate();
+                table.beginUpdate();
+                table.replaceAll(List.of(target("a", false, 1)));
+            }
+        },
+        IN_THE_SECOND_UPDATE {
+            @Override
+            void renew(TargetTable table) {
+                table.beginUpdate();
+                table.beginUpdate();
+                table.put(target("a", false, 1));
+            }
+
+            @Override
+            boolean kept() {
+                return false;
+            }
+        };
+
+        abstract void renew(TargetTable table);
+
+        boolean kept() {
+            return true;
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void aTargetThatRenewedItsRegistrationSinceTheOutageIsKept(Renewal renewal) {
+        table.put(target("a", false, 1));
+        table.directoryFailed(Duration.ZERO);
+        time.advance(Duration.ofSeconds(4));
+        table.directoryAnswered();
+        renewal.renew(table);
+        time.advance(Duration.ofSeconds(1));
+
+        table.remove("a");
+
+        assertThat(usable().contains("a")).isEqualTo(renewal.kept());
+    }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpClient.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/HttpClient.java
@@ -217,6 +217,14 @@
         return newest == null ? null : newest.connection();
     }
 
+    /** Closes the idle connections to a server: one that has fallen silent shows that others may have, too. */
+    public void closeIdle(InetSocketAddress address) {
+        Deque<Idle> connections = idle.remove(address);
+        if (connections != null) {
+            connections.forEach(entry -> entry.connection().close());
+        }
+    }
+
     /** Closes connections that have been idle for longer than the idle time-out. */
     public void closeExpired() {
         idle.values().forEach(this::closeExpired);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
@@ -58,6 +58,8 @@
     SECOND_RESPONSE_REFUSED(
             6052, Level.ERROR, "a second response to one request was not written; the connection was reset"),
     REQUEST_HEDGED(6053, Level.INFO, "a request was sent to a second target because its answer is late"),
+    STORE_CONNECTION_SILENT(
+            6054, Level.WARN, "a connection to the object store fell silent while the store answers on others"),
     ROLLOUT_ORDERED(6060, Level.WARN, "an order moves a pool to another software version"),
     ROLLOUT_STEP(6061, Level.WARN, "this gateway has taken the next step of a roll-out"),
     ROLLOUT_STATE(6062, Level.WARN, "the stored state of a roll-out has changed"),
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/AbstractSharedReads.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/AbstractSharedReads.java
@@ -105,6 +105,11 @@
         return confirmed.isEmpty() ? Duration.ZERO : Duration.ofNanos(time.nanoTime() - confirmed.getAsLong());
     }
 
+    @Override
+    public Duration latestReadAge() {
+        return schedule.latestReadAge();
+    }
+
     /** Returns whether this gateway is the reader at present. */
     boolean isReader() {
         return reader.getAsBoolean();
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/KindWatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/KindWatcher.java
@@ -15,7 +15,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
 import java.util.function.ObjLongConsumer;
 import org.jspecify.annotations.Nullable;
 
@@ -25,19 +24,24 @@
     /** Time for which the store may hold a watch open by which an unresponsive store is detected. */
     static final Duration WATCH_WAIT = Duration.ofMillis(2500);
 
-    /** Response timeout of a watch, in addition to the time for which the store may hold it open. */
-    static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(700);
+    /** Wait of a watch that only shows whether the store answers. */
+    private static final Duration NO_WAIT = Duration.ofMillis(1);
+
+    /** Number of turns in which the watches of the kinds return. */
+    private static final int TURNS = 3;
 
     /** Timeout of a list call. */
     static final Duration LIST_TIMEOUT = Duration.ofMillis(1500);
 
     private final ObjectStoreClient store;
+    private final CheckedRead read;
     private final StoreDialect dialect;
     private final Scheduler scheduler;
     private final StoreKind kind;
     private final Duration pause;
     private final KindListener listener;
     private final ReadPlan plan;
+    private final Runnable onSilentConnection;
     private List<StoreObject> pages = new ArrayList<>();
     private final RetryDelay retryDelay = new RetryDelay();
     private final Map<String, StoreObject> objects = new HashMap<>();
@@ -46,14 +50,14 @@
     private boolean failing;
     private @Nullable Cancellable nextWatch;
     private @Nullable Runnable onReread;
-    private int reads;
-    private boolean watching;
+    private boolean outOfStep;
 
     /**
      * Creates a watcher.
      *
      * @param pause time between two watches; the next watch returns the changes made in between
      * @param plan decides when this gateway reads
+     * @param onSilentConnection called when the connection of a watch is found to be silent
      */
     KindWatcher(
             ObjectStoreClient store,
@@ -62,14 +66,17 @@
             StoreKind kind,
             Duration pause,
             KindListener listener,
-            ReadPlan plan) {
+            ReadPlan plan,
+            Runnable onSilentConnection) {
         this.store = store;
+        this.read = new CheckedRead(store, scheduler);
         this.dialect = dialect;
         this.scheduler = scheduler;
         this.kind = kind;
         this.pause = pause;
         this.listener = listener;
         this.plan = plan;
+        this.onSilentConnection = onSilentConnection;
     }
 
     void start() {
@@ -97,17 +104,6 @@
         }
     }
 
-    private void read(String uri, Duration timeout, Consumer<CallResult> receiver) {
-        int own = ++reads;
-        watching = false;
-        store.read(uri, timeout, result -> {
-            if (own == reads) {
-                watching = false;
-                receiver.accept(result);
-            }
-        });
-    }
-
     /** Returns the watched kind. */
     StoreKind kind() {
         return kind;
@@ -155,7 +151,7 @@
         if (after == null) {
             pages = new ArrayList<>();
         }
-        read(dialect.listUri(kind, after), LIST_TIMEOUT, this::handleList);
+        read.read(dialect.listUri(kind, after), LIST_TIMEOUT, this::handleList);
     }
 
     private void handleList(CallResult result) {
@@ -179,6 +175,7 @@
                             replaceAll(List.copyOf(pages), listPosition);
                         }
                         rereadEnded();
+                        outOfStep = true;
                         nextWatch = scheduler.schedule(pause, this::watchIfDue);
                     }
                 },
@@ -191,6 +188,9 @@
             nextWatch = scheduler.schedule(delay, this::watchIfDue);
         } else if (plan.listInsteadOfWatch()) {
             list(null);
+        } else if (outOfStep) {
+            outOfStep = false;
+            watchOutOfStep();
         } else {
             watch();
         }
@@ -198,8 +198,10 @@
 
     /** Reads at once if the plan asks for it, unless a list is in progress or the last call has just ended. */
     void readIfDue() {
-        if (watching) {
+        if (read.watching()) {
             if (plan.readNow(known.era(), true)) {
+                // The connection of the watch is silent, and idle ones may be, too.
+                store.closeIdleConnections();
                 list(null);
             }
         } else if (nextWatch != null && plan.readNow(known.era(), false)) {
@@ -215,10 +217,41 @@
     }
 
     private void watch() {
+        watch(plan.watchWait());
+    }
+
+    private void watch(Duration wait) {
         nextWatch = null;
-        Duration wait = plan.watchWait();
-        read(dialect.watchUri(kind, known.revision(), wait), wait.plus(RESPONSE_TIMEOUT), this::handleWatch);
-        watching = true;
+        read.watch(
+                dialect.watchUri(kind, known.revision(), wait),
+                wait,
+                () -> dialect.watchUri(kind, known.revision(), NO_WAIT),
+                this::handleWatch,
+                this::handleSilentWatch);
+    }
+
+    /** The connection of the watch is silent; those of other kinds may be, too. */
+    private void handleSilentWatch(CallResult result) {
+        listener.callFailed(kind + ": the connection of the watch is silent", plan.sinceConfirmed(known.era()));
+        handleWatch(result);
+        onSilentConnection.run();
+    }
+
+    /** Replaces an open watch, whose connection may be silent, by one over a new connection. */
+    void renewWatch() {
+        if (read.watching()) {
+            read.abandon();
+            watchOutOfStep();
+        }
+    }
+
+    /**
+     * Begins the watches with a shorter one for some kinds. The watches of a gateway then return one after the other,
+     * so that a loss of all connections is soon noticed.
+     */
+    private void watchOutOfStep() {
+        int turn = kind.ordinal() % TURNS + 1;
+        watch(plan.watchWait().multipliedBy(turn).dividedBy(TURNS));
     }
 
     private void handleWatch(CallResult result) {
@@ -247,7 +280,7 @@
                     }
                     nextWatch = scheduler.schedule(pause, this::watchIfDue);
                 },
-                this::watch);
+                () -> watch(NO_WAIT));
     }
 
     private void put(StoreObject object) {
@@ -289,9 +322,9 @@
         }
         failing = true;
         listener.callFailed(kind + ": " + problem, silent ? plan.sinceConfirmed(known.era()) : Duration.ZERO);
-        int failed = reads;
+        int failed = read.number();
         scheduler.schedule(retryDelay.next(), () -> {
-            if (failed == reads) {
+            if (failed == read.number()) {
                 retry.run();
             }
         });
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/ObjectStoreClient.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/ObjectStoreClient.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway.store;
 
+import io.masticfold.core.time.Cancellable;
 import io.masticfold.core.time.Scheduler;
 import io.masticfold.gateway.http.BufferedCall;
 import io.masticfold.gateway.http.CallResult;
@@ -31,9 +32,18 @@
         client.neverHoldBack(address);
     }
 
-    /** Sends a GET request and passes the result to the receiver. */
-    public void read(String uri, Duration timeout, Consumer<CallResult> receiver) {
-        call(HttpMethod.GET, uri, NO_BODY, timeout, receiver);
+    /**
+     * Sends a GET request and passes the result to the receiver.
+     *
+     * @return cancels the call and closes its connection; the receiver is then not called
+     */
+    public Cancellable read(String uri, Duration timeout, Consumer<CallResult> receiver) {
+        return call(HttpMethod.GET, uri, NO_BODY, timeout, receiver);
+    }
+
+    /** Closes the idle connections to the store, so that the next calls open new ones. */
+    void closeIdleConnections() {
+        client.closeIdle(address);
     }
 
     /** Sends a POST request that creates an object and passes the result to the receiver. */
@@ -51,14 +61,20 @@
         call(HttpMethod.DELETE, uri, NO_BODY, timeout, receiver);
     }
 
-    private void call(HttpMethod method, String uri, byte[] body, Duration timeout, Consumer<CallResult> receiver) {
-        BufferedCall.start(
+    private Cancellable call(
+            HttpMethod method, String uri, byte[] body, Duration timeout, Consumer<CallResult> receiver) {
+        return BufferedCall.start(
                 client,
                 scheduler,
                 address,
                 BufferedCall.request(method, uri, address, body),
                 ConnectionChoice.REUSE,
                 timeout,
-                receiver);
+                result -> {
+                    if (result instanceof CallResult.Failed failed && failed.silent()) {
+                        closeIdleConnections();
+                    }
+                    receiver.accept(result);
+                });
     }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatcher.java
@@ -15,6 +15,7 @@
 import io.masticfold.gateway.protocol.StoreKind;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -83,11 +84,11 @@
         this.scheduler = scheduler;
         this.view = view;
         this.table = new TargetTable(scheduler);
-        this.reachability = new StoreReachability(table, log);
+        this.reachability = new StoreReachability(table, scheduler, this::latestReadAge, log);
         this.configuration = new ConfigurationListener(dialect, scheduler, view, reachability, log);
         this.targets = new TargetListener(dialect, table, view, reachability, log);
         this.zones = new ZoneListener(new DisabledZones(scheduler), table, targets, reachability, log);
-        this.configurationWatches = sharedWatches(StoreKind.CONFIGURATION);
+        this.configurationWatches = sharedWatches(StoreKind.CONFIGURATION, CONFIGURATION_AND_ZONES_PAUSE);
         this.configurationWatcher = new KindWatcher(
                 store,
                 dialect,
@@ -95,7 +96,8 @@
                 StoreKind.CONFIGURATION,
                 CONFIGURATION_AND_ZONES_PAUSE,
                 configuration,
-                configurationWatches);
+                configurationWatches,
+                this::connectionSilent);
         List<KindWatcher> all = new ArrayList<>(List.of(
                 configurationWatcher,
                 new KindWatcher(
@@ -105,7 +107,8 @@
                         StoreKind.TARGETS,
                         TARGETS_PAUSE,
                         targets,
-                        sharedWatches(StoreKind.TARGETS)),
+                        sharedWatches(StoreKind.TARGETS, TARGETS_PAUSE),
+                        this::connectionSilent),
                 new KindWatcher(
                         store,
                         dialect,
@@ -113,7 +116,8 @@
                         StoreKind.ZONES_OUT,
                         CONFIGURATION_AND_ZONES_PAUSE,
                         zones,
-                        sharedWatches(StoreKind.ZONES_OUT)),
+                        sharedWatches(StoreKind.ZONES_OUT, CONFIGURATION_AND_ZONES_PAUSE),
+                        this::connectionSilent),
                 new KindWatcher(
                         store,
                         dialect,
@@ -121,7 +125,8 @@
                         StoreKind.GATEWAYS,
                         GATEWAYS_PAUSE,
                         new GatewayListener(dialect, view, node, onUnlisted, reachability, log),
-                        gatewayReads())));
+                        gatewayReads(),
+                        this::connectionSilent)));
         this.orders = rollouts.map(receiver -> new RolloutListener(dialect, receiver, reachability, log));
         orders.ifPresent(listener -> all.add(new KindWatcher(
                 store,
@@ -130,12 +135,20 @@
                 StoreKind.ROLLOUTS,
                 CONFIGURATION_AND_ZONES_PAUSE,
                 listener,
-                sharedWatches(StoreKind.ROLLOUTS))));
+                sharedWatches(StoreKind.ROLLOUTS, CONFIGURATION_AND_ZONES_PAUSE),
+                this::connectionSilent)));
         this.watchers = List.copyOf(all);
     }
 
-    private SharedWatches sharedWatches(StoreKind kind) {
-        return new SharedWatches(kind, scheduler, () -> isReader(kind));
+    private Duration latestReadAge() {
+        return watchers.stream()
+                .map(watcher -> watcher.plan().latestReadAge())
+                .min(Comparator.naturalOrder())
+                .orElseThrow();
+    }
+
+    private SharedWatches sharedWatches(StoreKind kind, Duration pause) {
+        return new SharedWatches(kind, scheduler, pause, () -> isReader(kind));
     }
 
     private SharedReads gatewayReads() {
@@ -238,6 +251,10 @@
         scheduler.schedule(TimerGrid.delay(scheduler, EXPIRY_CHECK), this::expire);
     }
 
+    private void connectionSilent() {
+        watchers.forEach(KindWatcher::renewWatch);
+    }
+
     /** Returns the active configuration and accepts newer ones that peers supply. */
     ConfigurationListener configuration() {
         return configuration;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/ReadPlan.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/ReadPlan.java
@@ -37,6 +37,9 @@
     /** Returns the time since the latest read by any gateway that found what this one knows; zero before one did. */
     Duration sinceConfirmed(long era);
 
+    /** Returns the time since the store answered a read of any gateway, whatever it found. */
+    Duration latestReadAge();
+
     /** Adds the latest own read to the status for the peers. */
     void addTo(PeerStatus.Builder status, long era);
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/SharedWatches.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/SharedWatches.java
@@ -16,8 +16,11 @@
     /** Time for which the store may hold the watch of a follower open. */
     static final Duration LONG_WATCH_WAIT = Duration.ofSeconds(25);
 
+    /** Time between two answers to the reader, the pause included, if nothing changes. */
+    private static final Duration READER_CYCLE = Duration.ofMillis(2200);
+
     /** Age of the latest read by any gateway at which the reader reads: longer than one of its watches can take. */
-    static final Duration READER_INTERVAL = KindWatcher.WATCH_WAIT.plus(KindWatcher.RESPONSE_TIMEOUT);
+    static final Duration READER_INTERVAL = KindWatcher.WATCH_WAIT.plus(CheckedRead.RESPONSE_TIMEOUT);
 
     /** Age at which followers read: after a reader that has just taken over. */
     static final Duration FOLLOWER_INTERVAL = READER_INTERVAL.plusMillis(500);
@@ -26,14 +29,16 @@
     private static final Duration ARRIVAL_WINDOW = Duration.ofMillis(250);
 
     private final TimeSource time;
+    private final Duration pause;
     private OptionalLong dueSinceNanos = OptionalLong.empty();
 
     /**
      * Creates the shared watches of a kind.
      *
+     * @param pause time between two watches
      * @param reader whether this gateway is the reader at present
      */
-    SharedWatches(StoreKind kind, TimeSource time, BooleanSupplier reader) {
+    SharedWatches(StoreKind kind, TimeSource time, Duration pause, BooleanSupplier reader) {
         super(
                 kind,
                 time,
@@ -42,6 +47,7 @@
                 reader,
                 object -> object.name() + " " + object.revision());
         this.time = time;
+        this.pause = pause;
     }
 
     @Override
@@ -56,7 +62,7 @@
 
     @Override
     public Duration watchWait() {
-        return isReader() ? KindWatcher.WATCH_WAIT : LONG_WATCH_WAIT;
+        return isReader() ? READER_CYCLE.minus(pause) : LONG_WATCH_WAIT;
     }
 
     @Override
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/TargetListener.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/TargetListener.java
@@ -56,6 +56,7 @@
 
     @Override
     public void changed(List<StoreObject> objects, long _revision) {
+        table.beginUpdate();
         objects.forEach(this::apply);
         publish();
     }
