Keep comment lines within 120 characters, and ignore the write of an earlier request

In ServerConnection the end of the write of a request that was answered early could count for the next exchange on the connection (found by reading); the listener now ignores it. 'mvn verify -DskipTests' passes on all modules.

--- a/masticfold-core/src/main/java/io/masticfold/core/directory/TargetTable.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/directory/TargetTable.java
@@ -12,10 +12,9 @@
 /**
  * Holds the targets registered in the service directory. Registrations expire while the directory is unavailable, since
  * the targets cannot renew them. A target whose registration is missing right after such an outage is therefore kept
- * for a grace period, in which live targets register again, unless it was renewed since the outage. A directory that was
- * restored from a copy is treated in the
- * same way, and what the copy says of targets that were draining or gone before is ignored. Not safe for use by several
- * threads.
+ * for a grace period, in which live targets register again, unless it was renewed since the outage. A directory that
+ * was restored from a copy is treated in the same way, and what the copy says of targets that were draining or gone
+ * before is ignored. Not safe for use by several threads.
  */
 public final class TargetTable {
 
--- a/masticfold-core/src/main/java/io/masticfold/core/quarantine/PoisonDetector.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/quarantine/PoisonDetector.java
@@ -14,8 +14,9 @@
 /**
  * Finds what crashes the targets: a whole request that is sent again and again, or a part that many prompts share. Each
  * end of a target accuses the request that it was beginning and the parts of its prompt; a request alone cannot put a
- * part into quarantine. Parts that only occurred together in the requests that crashed targets are quarantined together:
- * a request is refused if it holds all of them. What a quarantined suspect explains accuses nobody else. Not thread-safe.
+ * part into quarantine. Parts that only occurred together in the requests that crashed targets are quarantined
+ * together: a request is refused if it holds all of them. What a quarantined suspect explains accuses nobody else. Not
+ * thread-safe.
  */
 public final class PoisonDetector {
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ResetProbe.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ResetProbe.java
@@ -8,8 +8,8 @@
 
 /**
  * Finds out whether a server that has ended its output had read the whole request. One that closes its connection
- * before resets it as soon as more of the request arrives. A reset after the end of the output can be noticed by a write
- * only. What is written follows the request, and no response to it is read.
+ * before resets it as soon as more of the request arrives. A reset after the end of the output can be noticed by a
+ * write only. What is written follows the request, and no response to it is read.
  */
 final class ResetProbe {
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
@@ -91,9 +91,12 @@
             throw new IllegalStateException("connection to " + address + " is not open");
         }
         open.writeAndFlush(request).addListener(written -> {
+            if (listener != nextListener) {
+                return;
+            }
             if (written.isSuccess()) {
                 requestWritten = true;
-            } else if (listener == nextListener) {
+            } else {
                 // The close that follows looks like the end of a response without a length.
                 fail(closedByServer(), "the request could not be written: " + written.cause());
                 close();
