--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
@@ -43,6 +43,7 @@
     private @Nullable FullHttpRequest unsent;
     private int exchanges;
     private int interimResponses;
+    private int undecodedInTurn;
     private boolean responseBegun;
     private boolean headSeen;
     private boolean closeAfterResponse;
@@ -157,12 +158,7 @@
             close();
             return false;
         }
-        int length = bytes.readableBytes();
-        if (listener != null && !(headSeen ? undecoded.addToBody(length) : undecoded.addToHead(length))) {
-            fail(ExchangeFailure.BROKEN, "no memory for the response");
-            close();
-            return false;
-        }
+        undecodedInTurn += bytes.readableBytes();
         return true;
     }
 
@@ -208,9 +204,19 @@
         if (receiver != null && headSeen) {
             receiver.readComplete();
         }
+        int bytes = undecodedInTurn;
+        undecodedInTurn = 0;
+        if (listener != null && !(headSeen ? undecoded.addToBody(bytes) : undecoded.addToHead(bytes))) {
+            failWithoutMemory();
+        }
         throttle.turnEnded();
     }
 
+    private void failWithoutMemory() {
+        fail(ExchangeFailure.BROKEN, "no memory for the response");
+        close();
+    }
+
     private void decodingFailed(Throwable cause) {
         if (cause instanceof PrematureChannelClosureException) {
             fail(closedByServer(), "connection closed by the server within the head of the response");
@@ -226,6 +232,7 @@
         ExchangeListener receiver = listener;
         if (receiver != null && message instanceof HttpContent content && headSeen) {
             if (content.content().isReadable()) {
+                undecodedInTurn = 0;
                 undecoded.bodyDecoded();
                 receiver.content(content.content());
             }
@@ -250,6 +257,11 @@
             return;
         }
         headSeen = true;
+        undecodedInTurn = 0;
+        if (!undecoded.headDecoded(response)) {
+            failWithoutMemory();
+            return;
+        }
         boolean framed = response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
                 || HttpUtil.isTransferEncodingChunked(response);
         endsWithConnection = !framed;
