Count what follows a head in the same turn among undecoded bytes

The run failed in one of 8 rows of UndecodedBytesTests (trailers: 24 connections kept 1,081,344 bytes beside a limit of 1,048,576).

Cause: the bytes that arrived in one turn with the end of a head were not counted, 2 KiB and more a connection. Change: what a turn read beyond the fields of the head counts as undecoded, unless a part of the body is decoded. Run: UndecodedBytesTests, EarlyResponseTests, MalformedResponseTests, ServerConnectionEndTests, ReadThrottleTests and ResponseMemoryTests pass.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
@@ -257,11 +257,11 @@
             return;
         }
         headSeen = true;
-        undecodedInTurn = 0;
         if (!undecoded.headDecoded(response)) {
             failWithoutMemory();
             return;
         }
+        undecodedInTurn = Math.max(0, undecodedInTurn - undecoded.headBytes());
         boolean framed = response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
                 || HttpUtil.isTransferEncodingChunked(response);
         endsWithConnection = !framed;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/UndecodedBytes.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/UndecodedBytes.java
@@ -19,8 +19,8 @@
     private static final int HEAD_FACTOR = 2;
 
     private final ResponseMemory memory;
-    private long headBytes;
-    private long bodyBytes;
+    private int headBytes;
+    private int bodyBytes;
     private long reservedBytes;
 
     UndecodedBytes(ResponseMemory memory) {
@@ -39,8 +39,13 @@
         return reserve();
     }
 
-    private static long size(HttpHeaders headers) {
-        long size = 0;
+    /** Returns the size of the fields of the head, or of what has arrived of it, in bytes. */
+    int headBytes() {
+        return headBytes;
+    }
+
+    private static int size(HttpHeaders headers) {
+        int size = 0;
         for (Map.Entry<String, String> field : headers) {
             size += field.getKey().length() + field.getValue().length();
         }
@@ -68,7 +73,7 @@
 
     /** Adjusts the reservation; returns false, and keeps the former one, if more is needed than there is. */
     private boolean reserve() {
-        long needed = HEAD_FACTOR * Math.max(0, headBytes - FREE_BYTES) + Math.max(0, bodyBytes - FREE_BYTES);
+        long needed = (long) HEAD_FACTOR * Math.max(0, headBytes - FREE_BYTES) + Math.max(0, bodyBytes - FREE_BYTES);
         if (needed > reservedBytes && !memory.reserve(needed - reservedBytes)) {
             return false;
         }
