--- a/review/harness-3/src/Gateway.java
+++ b/review/harness-3/src/Gateway.java
@@ -18,16 +18,20 @@
     final String ip;
     final int front;
     final int ready;
-    private final int peer;
+    final int peer;
     private final Path settings;
     private final Path folder;
-    private final String zone;
+    final String zone;
     private Process process;
 
     Gateway(Path folder, int number, int peerPort, String zone) throws IOException {
+        this(folder, "front-" + number, Loopback.ip(10 + number), peerPort, zone);
+    }
+
+    Gateway(Path folder, String node, String ip, int peerPort, String zone) throws IOException {
         this.folder = folder;
-        this.node = "front-" + number;
-        this.ip = Loopback.ip(10 + number);
+        this.node = node;
+        this.ip = ip;
         this.front = freePort(ip);
         this.ready = freePort(ip);
         this.peer = peerPort;
