--- a/review/harness-3/src/Case.java
+++ b/review/harness-3/src/Case.java
@@ -1,3 +1,4 @@
+import java.io.BufferedOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.Socket;
@@ -41,7 +42,8 @@
         limit.start();
         try {
             instance.folder = Path.of(arguments[1]);
-            instance.record = new PrintStream(Files.newOutputStream(Path.of(arguments[0])), true, StandardCharsets.UTF_8);
+            instance.record = new PrintStream(
+                    new BufferedOutputStream(Files.newOutputStream(Path.of(arguments[0]))), false, StandardCharsets.UTF_8);
             instance.store.open();
             code = instance.run() ? 1 : 0;
             instance.log("rule " + (code == 1 ? "BROKEN" : "held") + (instance.trouble ? "" : " (TROUBLE=0)"));
@@ -53,13 +55,22 @@
         } finally {
             Gateway.endAll();
         }
+        if (instance.record != null) {
+            instance.record.close();
+        }
         Runtime.getRuntime().halt(code);
     }
 
+    /** Writes a line to the record and to the standard output. */
     synchronized void log(String text) {
+        System.out.println(note(text));
+    }
+
+    /** Writes a line to the record: what was sent, answered or run. */
+    synchronized String note(String text) {
         String line = String.format("%8.3f %s", (System.nanoTime() - started) / 1e9, text);
         record.println(line);
-        System.out.println(line);
+        return line;
     }
 
     void startGateways(int count) throws Exception {
--- a/review/harness-3/src/FalsePromise.java
+++ b/review/harness-3/src/FalsePromise.java
@@ -31,11 +31,13 @@
     }
 
     private Message pay(Socket socket, String attempt, String payment) throws Exception {
+        note("client sends " + attempt + " for " + payment);
         Listener.write(
                 socket,
                 head("POST", "/pay/confirm", attempt, 1000) + "Content-Length: " + payment.length() + "\r\n\r\n"
                         + payment);
         Message answer = Message.readResponse(socket.getInputStream());
+        note("client gets for " + attempt + ": " + (answer == null ? "no answer" : answer.status()));
         if (answer != null && Set.of(408, 421, 429, 503).contains(answer.status()) && ran.contains(attempt)) {
             falsePromises.incrementAndGet();
             log("attempt " + attempt + " of payment " + payment + " has run and is answered " + answer.status()
@@ -55,7 +57,11 @@
                     ran.add(request.header("X-Masticfold-Attempt-Id"));
                     bookings.computeIfAbsent(request.text(), _key -> new AtomicInteger())
                             .incrementAndGet();
+                    note(id + " runs " + request.header("X-Masticfold-Attempt-Id") + ", books " + request.text());
                     boolean fails = failing && ThreadLocalRandom.current().nextDouble() < FAILED_SHARE;
+                    if (fails) {
+                        note(id + " answers " + request.header("X-Masticfold-Attempt-Id") + " with 503");
+                    }
                     write(socket, fails ? sealed(503, request, "no receipt") : sealed(200, request, "booked"));
                     return true;
                 }
--- a/review/harness-3/src/Gateway.java
+++ b/review/harness-3/src/Gateway.java
@@ -140,5 +140,14 @@
                 gateway.process.destroyForcibly();
             }
         }
+        for (Gateway gateway : ALL) {
+            if (gateway.process != null) {
+                try {
+                    gateway.process.waitFor(5, TimeUnit.SECONDS);
+                } catch (InterruptedException e) {
+                    return;
+                }
+            }
+        }
     }
 }
--- a/review/harness-3/src/LateCopies.java
+++ b/review/harness-3/src/LateCopies.java
@@ -56,6 +56,7 @@
             String copy = late.remove(socket);
             if (run && trouble && copying && ThreadLocalRandom.current().nextDouble() < COPIED_ANSWERS) {
                 copies.incrementAndGet();
+                note(id + " sends this answer again later: " + body);
                 late.put(socket, answer);
             }
             write(socket, (copy == null ? "" : copy) + answer);
@@ -80,6 +81,7 @@
                         String handle = address() + "/" + Integer.toHexString(0x100000 + handles.incrementAndGet());
                         makers.put(handle, String.valueOf(((Map<?, ?>) item).get("id")));
                         outcomes.add(map("handle", handle));
+                        note(id + " makes " + handle + " for " + ((Map<?, ?>) item).get("id"));
                     }
                 }
                 respond(socket, Json.write(map("items", outcomes)), true);
@@ -106,6 +108,7 @@
         boolean answer(Message request, Socket socket, InputStream in) throws Exception {
             String attempt = request.header("X-Masticfold-Attempt-Id");
             String inputs = request.header("X-Masticfold-Inputs");
+            note(id + " runs " + attempt + " with " + inputs);
             for (String handle : inputs.split(",")) {
                 String maker = makers.get(handle.trim());
                 if (!attempt.equals(maker)) {
@@ -166,6 +169,7 @@
             Listener.thread(() -> {
                 while (System.nanoTime() < end) {
                     String attempt = attempt();
+                    note("client sends " + attempt + " " + path);
                     Message answer = call(
                             gateway,
                             head("POST", path, attempt, 10_000)
@@ -174,6 +178,8 @@
                                     + ":200\r\nX-Masticfold-Pieces: " + BATCH + "\r\nX-Masticfold-Piece-Key: " + attempt
                                     + "\r\nContent-Length: 2\r\n\r\nhi",
                             11_000);
+                    note("client gets for " + attempt + ": "
+                            + (answer == null ? "no answer" : answer.status() + (answer.complete ? "" : ", cut")));
                     if (answer != null && answer.status() == 200) {
                         served.incrementAndGet();
                     } else {
@@ -188,6 +194,7 @@
             for (String service : SERVICES) {
                 Maker next = new Maker(service, ++number, ThreadLocalRandom.current().nextDouble() < COPYING_SHARE);
                 next.begin();
+                note(next.id + " starts");
                 inService.get(service).add(next);
             }
             Thread.sleep(STEP_MILLIS);
@@ -195,6 +202,7 @@
                 Maker oldest = inService.get(service).remove();
                 oldest.state = "draining";
                 oldest.beat();
+                note(oldest.id + " drains");
                 Listener.thread(() -> {
                     Thread.sleep(4000);
                     oldest.kill();
--- a/review/harness-3/src/NewAddress.java
+++ b/review/harness-3/src/NewAddress.java
@@ -36,6 +36,8 @@
         @Override
         boolean answer(Message request, Socket socket, InputStream in) throws Exception {
             String last = request.header("Last-Event-Id");
+            note(id + " (" + version + ") runs " + request.header("X-Masticfold-Attempt-Id")
+                    + (last.isEmpty() ? "" : " after event " + last));
             int from = last.isEmpty() ? 0 : Integer.parseInt(last);
             write(
                     socket,
@@ -60,8 +62,10 @@
     }
 
     /** Reads a stream until it ends or its connection breaks. */
-    private static Received read(Gateway gateway, String attempt, String resumes, int after) {
+    private Received read(Gateway gateway, String attempt, String resumes, int after) {
         Received received = new Received();
+        note("client sends " + attempt + " to " + gateway.node
+                + (resumes.isEmpty() ? "" : ", resumes " + resumes + " after event " + after));
         try (Socket socket = gateway.connect()) {
             socket.setSoTimeout(5000);
             Listener.write(
@@ -91,6 +95,8 @@
         } catch (IOException e) {
             // The connection broke.
         }
+        note("client got for " + attempt + ": status " + received.status + ", up to event " + received.lastEvent + " "
+                + received.version);
         return received;
     }
 
--- a/review/harness-3/src/OmittedStage.java
+++ b/review/harness-3/src/OmittedStage.java
@@ -36,6 +36,7 @@
                     Map<?, ?> item = (Map<?, ?>) entry;
                     String attempt = String.valueOf(item.get("id"));
                     pieces.incrementAndGet();
+                    note(id + " runs " + Json.write(item));
                     if (item.containsKey("key") && !keys.get(attempt).equals(item.get("key"))) {
                         otherKeys.incrementAndGet();
                         log(id + " is asked for " + Json.write(item) + "; the key of the client's request is "
@@ -67,6 +68,7 @@
         @Override
         boolean answer(Message request, Socket socket, InputStream in) throws Exception {
             String attempt = request.header("X-Masticfold-Attempt-Id");
+            note(id + " is sent " + attempt + " with inputs " + request.header("X-Masticfold-Inputs"));
             if (!request.has("X-Masticfold-Inputs")) {
                 write(
                         socket,
@@ -118,6 +120,7 @@
             String key = Integer.toHexString(0x7c1e0000 + i);
             keys.put(attempt, key);
             String counts = trouble && i % 3 == 0 ? "0,2,1" : "1,2,1";
+            note("client sends " + attempt + ", pieces " + counts + ", key " + key);
             Message answer = call(
                     gateways.get(i % 2),
                     head("POST", "/sort/1", attempt, 10_000)
@@ -125,6 +128,7 @@
                             + "X-Masticfold-Prompt-Prefix: 5c1e07a2:800," + attempt + ":200\r\nX-Masticfold-Pieces: "
                             + counts + "\r\nX-Masticfold-Piece-Key: " + key + "\r\nContent-Length: 2\r\n\r\nhi",
                     11_000);
+            note("client gets for " + attempt + ": " + (answer == null ? "no answer" : answer.status()));
             answers.computeIfAbsent(
                             counts + " " + (answer == null ? "closed" : answer.status()), _key -> new AtomicInteger())
                     .incrementAndGet();
