Forward a target's failure only if its status does not promise "not run"

Cause: the classification of a target's response as "ran" was not heard by the branch that forwards the response, so that the target's status was passed on as a promise of the gateway. Only errors of the gateway itself were kept true, and of these only 503.

Change: CallerStatusPolicy decides for both. A status of RejectionStatus (408, 421, 429, 503) needs the certainty that no send has run; otherwise the caller gets 502 target_failed without the target's seal and Retry-After.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/FinalResponse.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/FinalResponse.java
@@ -2,6 +2,7 @@
 
 import io.masticfold.core.error.ErrorKind;
 import io.masticfold.core.error.Ran;
+import io.masticfold.core.forward.CallerStatusPolicy;
 import io.masticfold.gateway.context.GatewayContext;
 import io.masticfold.gateway.http.CallerResponse;
 import io.netty.buffer.Unpooled;
@@ -69,7 +70,7 @@
      */
     void refuse(ErrorKind kind, Ran ran, Duration left, Duration estimatedWait) {
         context.telemetry().refused(kind);
-        int status = status(kind, ran);
+        int status = CallerStatusPolicy.status(kind, ran);
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
         headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
         boolean retryLater = status == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
@@ -81,17 +82,6 @@
         callerResponse.send(status, headers, Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
     }
 
-    /** Returns the HTTP status of an error; 503 promises that the request did not run, so it needs certainty. */
-    private static int status(ErrorKind kind, Ran ran) {
-        if (ran == Ran.NO && kind == ErrorKind.STAGE_TIMEOUT) {
-            return HttpResponseStatus.SERVICE_UNAVAILABLE.code();
-        }
-        if (ran != Ran.NO && kind.httpStatus() == HttpResponseStatus.SERVICE_UNAVAILABLE.code()) {
-            return HttpResponseStatus.BAD_GATEWAY.code();
-        }
-        return kind.httpStatus();
-    }
-
     private static String retryAfter(ErrorKind kind, Duration left, Duration estimatedWait) {
         if (kind == ErrorKind.OVERLOADED && !estimatedWait.isZero()) {
             // Admission has limited the wait to a share of the time left and has added jitter.
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -2,6 +2,7 @@
 
 import io.masticfold.core.error.ErrorKind;
 import io.masticfold.core.error.Ran;
+import io.masticfold.core.forward.CallerStatusPolicy;
 import io.masticfold.core.forward.SendOutcome;
 import io.masticfold.core.stream.StreamEvent;
 import io.masticfold.core.time.Cancellable;
@@ -367,12 +368,15 @@
         TargetResponse targetResponse = result.response();
         if (progress != null && progress.started()) {
             abort(result.outcome().failure(), result.detail());
-        } else if (targetResponse != null) {
+        } else if (targetResponse == null) {
+            fail(result.outcome().failure(), result.detail());
+        } else if (CallerStatusPolicy.permitForwarding(routed.route().kind(), history.ran(), targetResponse.status())) {
             end();
             response.forward(targetResponse);
             recordEnd(GatewayEvent.REQUEST_FAILED, "target_failed", result.detail());
         } else {
-            fail(result.outcome().failure(), result.detail());
+            context.telemetry().count("target_status_withheld_" + targetResponse.status());
+            fail(result.outcome().failure(), result.detail() + " is not forwarded: it promises that nothing has run");
         }
     }
 
