Do not believe "not executed" beside a status of a request that ran

Cause: the statement was believed whatever the status. A 200 or 302 with it counted as not run: a request that may run only once was sent to the next target as well; a stream of such a response was forwarded.

Change: ResponseEvidence, a table without I/O of what a response says about execution. The statement counts beside 400 and above; otherwise the outcome is unknown.

Ruled out: believing it (a request may run twice), taking the response for an answer (the caller would get a success that the target denies).

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponse.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponse.java
@@ -9,10 +9,4 @@
  * @param headers headers as received from the target
  * @param body complete body
  */
-record TargetResponse(int status, HttpHeaders headers, byte[] body) {
-
-    /** Returns whether the status is a success (2xx). */
-    boolean success() {
-        return status >= 200 && status < 300;
-    }
-}
+record TargetResponse(int status, HttpHeaders headers, byte[] body) {}
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetResponseReceiver.java
@@ -1,12 +1,12 @@
 package io.masticfold.gateway.request;
 
+import io.masticfold.core.forward.ResponseEvidence;
 import io.masticfold.core.forward.SendOutcome;
 import io.masticfold.gateway.context.GatewayContext;
 import io.masticfold.gateway.http.Exchange;
 import io.masticfold.gateway.http.ExchangeFailure;
 import io.masticfold.gateway.http.ExchangeListener;
 import io.masticfold.gateway.http.ResponseBody;
-import io.masticfold.gateway.protocol.HeaderNames;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
@@ -122,8 +122,9 @@
             run.responseBegun(target, head);
         }
         if (progress != null && head.status().code() == HttpResponseStatus.OK.code()) {
-            if (!authentic(head.headers())) {
-                abort("response without a valid seal or for another request");
+            ResponseEvidence evidence = evidence(head);
+            if (evidence.outcome() != SendOutcome.ANSWERED) {
+                abort("response " + doubt(evidence));
                 return;
             }
             String problem = progress.problem(head);
@@ -205,28 +206,38 @@
     }
 
     private SendResult classify(HttpResponse head) {
-        HeaderNames names = context.protocol().headers();
         HttpHeaders headers = head.headers();
         int status = head.status().code();
-        TargetResponse complete = new TargetResponse(status, headers, body.toByteArray());
-        boolean declined =
-                headers.contains(names.notExecuted()) || status == HttpResponseStatus.MISDIRECTED_REQUEST.code();
-        if (declined && ownResponse(headers)) {
-            SendOutcome outcome =
-                    status == HttpResponseStatus.CONFLICT.code() ? SendOutcome.INPUT_GONE : SendOutcome.NOT_RUN;
+        ResponseEvidence evidence = evidence(head);
+        SendOutcome outcome = evidence.outcome();
+        if (outcome == SendOutcome.NOT_RUN || outcome == SendOutcome.INPUT_GONE) {
             return SendResult.of(outcome, "status " + status);
         }
-        if (!authentic(headers)) {
+        if (outcome == SendOutcome.UNKNOWN) {
             // The response to this send may still be on its way; the next send on this connection must not get it.
             exchange.cancel();
-            return SendResult.of(
-                    SendOutcome.UNKNOWN, "status " + status + " without a valid seal or for another request");
+            return SendResult.of(outcome, "status " + status + ' ' + doubt(evidence));
         }
-        if (complete.success() && progress != null && progress.started()) {
+        if (evidence.success() && progress != null && progress.started()) {
             return SendResult.of(SendOutcome.UNKNOWN, "status " + status + " does not continue a stream");
         }
-        SendOutcome outcome = complete.success() ? SendOutcome.ANSWERED : SendOutcome.FAILED;
-        return new SendResult(outcome, "status " + status, complete, null);
+        return new SendResult(
+                outcome, "status " + status, new TargetResponse(status, headers, body.toByteArray()), null);
+    }
+
+    private ResponseEvidence evidence(HttpResponse head) {
+        HttpHeaders headers = head.headers();
+        return new ResponseEvidence(
+                head.status().code(),
+                headers.contains(context.protocol().headers().notExecuted()),
+                ownResponse(headers),
+                authentic(headers));
+    }
+
+    private static String doubt(ResponseEvidence evidence) {
+        return evidence.authentic()
+                ? "beside the statement that the request did not run"
+                : "without a valid seal or for another request";
     }
 
     private boolean ownResponse(HttpHeaders headers) {
