Remember the results that a stage server has delivered by connection

A server sends an answer again, late, where the next answer on its connection is expected.

Cause: the handles that were received belonged to the object that calls a server. That object ends when a pool changes its partitions (from four servers to five or back), while the connections live on. It also held the last 512 handles only.

Change: each connection remembers the handles that it has delivered (DeliveredIdentities), for as long as it lives; one that has delivered 32 KiB of handles is closed after its answer.

Ruled out: answers to calls that were given up, and copies read by status or release calls: neither occurs in the tests that show the fault.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/Exchange.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/Exchange.java
@@ -1,5 +1,7 @@
 package io.masticfold.gateway.http;
 
+import java.util.Collection;
+
 /** Represents a request to a server and its pending response. */
 public interface Exchange {
 
@@ -12,6 +14,11 @@
 
         @Override
         public void setAutoRead(boolean _enabled) {}
+
+        @Override
+        public boolean recordDelivered(Collection<String> _identities) {
+            return true;
+        }
     };
 
     /**
@@ -23,4 +30,14 @@
 
     /** Suspends or resumes reading the response, to apply back-pressure to the server. */
     void setAutoRead(boolean enabled);
+
+    /**
+     * Records what identifies the complete response to this exchange, for responses that do not name their request. The
+     * connection is closed once it has delivered as many identities as it can remember.
+     *
+     * @param identities values that no two different responses of a server share
+     * @return whether none of them was delivered by an earlier exchange on the same connection; if not, the response is
+     *     a copy, and the caller has to {@link #cancel} the exchange
+     */
+    boolean recordDelivered(Collection<String> identities);
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ServerConnection.java
@@ -18,6 +18,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.net.SocketException;
+import java.util.Collection;
 import org.jspecify.annotations.Nullable;
 
 /** Carries exchanges over a connection to a server, one at a time. Used on its event loop only. */
@@ -36,6 +37,7 @@
     private final long connectNanos;
     private final ResponseSyntax syntax = new ResponseSyntax();
     private final UndecodedBytes undecoded;
+    private final DeliveredIdentities delivered = new DeliveredIdentities();
     private long roundTripNanos;
     private long sentNanos;
     private @Nullable Channel channel;
@@ -129,6 +131,15 @@
         }
     }
 
+    @Override
+    public boolean recordDelivered(Collection<String> identities) {
+        boolean allNew = delivered.add(identities);
+        if (delivered.full()) {
+            close();
+        }
+        return allNew;
+    }
+
     boolean idle() {
         return listener == null;
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServer.java
@@ -48,7 +48,6 @@
     private final TargetRecord server;
     private final StageServerState serverState;
     private final ResultReleaser releaser;
-    private final ReceivedHandles receivedHandles = new ReceivedHandles();
     private final StageCallLog callLog;
     private final StageServerListener listener;
     private @Nullable StageCall current;
@@ -162,7 +161,7 @@
                 List<PieceOutcome> outcomes = context.protocol()
                         .stages()
                         .decodeRun(answered.body(), call.pieces().size());
-                if (receivedHandles.containsCopy(outcomes)) {
+                if (isCopy(answered, outcomes)) {
                     closeConnection(result);
                     callLog.failed(call, "late copy of the answer to an earlier call");
                     return;
@@ -212,7 +211,7 @@
         if (answered.status() == HttpResponseStatus.OK.code()) {
             try {
                 List<PieceOutcome> outcomes = context.protocol().stages().decodeRun(answered.body(), batch.size());
-                boolean copy = receivedHandles.containsCopy(outcomes);
+                boolean copy = isCopy(answered, outcomes);
                 if (copy || outcomes.stream().noneMatch(outcome -> outcome.kind() == PieceOutcome.Kind.MADE)) {
                     closeConnection(result);
                 }
@@ -245,6 +244,18 @@
         return "status " + answered.status();
     }
 
+    /**
+     * Returns whether an answer is a late copy of that to an earlier call on its connection: each result has a handle
+     * of its own, which is received once.
+     */
+    private static boolean isCopy(CallResult.Answered answered, List<PieceOutcome> outcomes) {
+        return !answered.exchange()
+                .recordDelivered(outcomes.stream()
+                        .filter(outcome -> outcome.kind() == PieceOutcome.Kind.MADE)
+                        .map(PieceOutcome::handle)
+                        .toList());
+    }
+
     /**
      * Closes the connection of an answer that may be a copy of an earlier one: the answer to the call may follow, and
      * nothing in it names the call.
