Reach a gateway that moved, and hear only the peer that is meant

Cause: two faults. GatewayRegistration took an entry that exists for its own, so that the entry kept the old address. StreamVersionRegistry read the records again only while a single version was known, so that an origin that was in the store was not found.

Change: the entry that is listed under the own name is judged (RegistrationPolicy): that of an earlier process is replaced, by a write that names its revision, one of a later process stays. Records are read again for an unknown origin whenever a gateway is not heard. On the same path: a gateway names itself first on connections that peers open, and another gateway at the address of a peer is not heard; connections that are being opened to a peer that is gone, and connections of peers that vanished, are closed.

Ruled out: a record that was not written (it was there in each case). Considered and not taken: an unconditional write at each start, start times, leases (docs/design/remembered-addresses.md).

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/GatewayDaemon.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway;
 
+import io.masticfold.core.directory.RegistrationPolicy;
 import io.masticfold.core.forward.RequestLimits;
 import io.masticfold.core.memory.MemoryAccount;
 import io.masticfold.core.retry.RetryBudget;
@@ -103,16 +104,16 @@
         this.client = new HttpClient(group, time, account);
         this.log = new RateLimitedLog(time, telemetry);
         ObjectStoreClient store = new ObjectStoreClient(client, scheduler, settings.store());
-        GatewayAddress address = new GatewayAddress(settings.node(), settings.zone(), settings.peer());
-        this.registration = new GatewayRegistration(store, protocol.store(), scheduler, address);
+        GatewayAddress address =
+                new GatewayAddress(settings.node(), settings.zone(), settings.peer(), RegistrationPolicy.NO_GENERATION);
+        this.registration = new GatewayRegistration(store, protocol.store(), scheduler, log, address);
         this.platformWatcher = new PlatformWatcher(
                 store,
                 protocol.store(),
                 scheduler,
                 view,
                 log,
-                settings.node(),
-                registration::register,
+                registration,
                 settings.rollout().map(_limits -> this::handleOrders));
         PauseGuard pauseGuard = new PauseGuard(scheduler, PauseRecovery.MAX_DELAY);
         EventLoopMonitor loopMonitor = new EventLoopMonitor(scheduler, telemetry);
@@ -165,7 +166,8 @@
                         versions,
                         limits,
                         loads,
-                        rollouts));
+                        rollouts,
+                        log));
         GracefulShutdown shutdown = new GracefulShutdown(scheduler);
         TargetPools targetPools = new TargetPools(context, limits, loads, _name -> retryBudget());
         this.targetAdmission = new TargetAdmission(context, targetPools, loopMonitor::delay);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/PeerDispatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/PeerDispatcher.java
@@ -2,6 +2,8 @@
 
 import io.masticfold.gateway.limit.TargetRateLimits;
 import io.masticfold.gateway.load.TargetLoads;
+import io.masticfold.gateway.log.GatewayEvent;
+import io.masticfold.gateway.log.RateLimitedLog;
 import io.masticfold.gateway.peer.PeerCaller;
 import io.masticfold.gateway.peer.PeerListener;
 import io.masticfold.gateway.peer.proto.PeerFrame;
@@ -23,6 +25,7 @@
     private final TargetRateLimits limits;
     private final TargetLoads loads;
     private final Rollouts rollouts;
+    private final RateLimitedLog log;
 
     PeerDispatcher(
             StageDispatcher stageDispatcher,
@@ -32,7 +35,8 @@
             StreamVersionRegistry versions,
             TargetRateLimits limits,
             TargetLoads loads,
-            Rollouts rollouts) {
+            Rollouts rollouts,
+            RateLimitedLog log) {
         this.stageDispatcher = stageDispatcher;
         this.peerStateExchange = peerStateExchange;
         this.platformWatcher = platformWatcher;
@@ -41,6 +45,7 @@
         this.limits = limits;
         this.loads = loads;
         this.rollouts = rollouts;
+        this.log = log;
     }
 
     @Override
@@ -65,6 +70,14 @@
         }
     }
 
+    @Override
+    public void peerMismatch(String peer, String found) {
+        log.important(GatewayEvent.PEER_MISMATCH)
+                .addKeyValue("peer", peer)
+                .addKeyValue("found", found)
+                .log();
+    }
+
     @Override
     public void connectionLost(String peer) {
         stageDispatcher.peerDisconnected(peer);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/log/GatewayEvent.java
@@ -60,6 +60,9 @@
     REQUEST_HEDGED(6053, Level.INFO, "a request was sent to a second target because its answer is late"),
     STORE_CONNECTION_SILENT(
             6054, Level.WARN, "a connection to the object store fell silent while the store answers on others"),
+    REGISTRATION_REPLACED(6055, Level.WARN, "the entry of an earlier process of this name was replaced in the store"),
+    NAME_TAKEN_OVER(6056, Level.WARN, "another process has registered under the name of this one; its entry stays"),
+    PEER_MISMATCH(6057, Level.WARN, "a peer's address is answered by another gateway; the connection was closed"),
     ROLLOUT_ORDERED(6060, Level.WARN, "an order moves a pool to another software version"),
     ROLLOUT_STEP(6061, Level.WARN, "this gateway has taken the next step of a roll-out"),
     ROLLOUT_STATE(6062, Level.WARN, "the stored state of a roll-out has changed"),
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/PeerLink.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/PeerLink.java
@@ -24,6 +24,7 @@
     private boolean connecting;
     private boolean connected;
     private boolean draining;
+    private boolean retired;
     private long lastReceivedNanos;
     private long nextAttemptNanos;
     private int consecutiveFailures;
@@ -90,6 +91,12 @@
         }
     }
 
+    /** Closes the connection for good, also one that is still being opened. */
+    void retire() {
+        retired = true;
+        close();
+    }
+
     void close() {
         Channel open = channel;
         if (open != null) {
@@ -112,6 +119,10 @@
 
         @Override
         public void channelActive(ChannelHandlerContext context) {
+            if (retired) {
+                context.close();
+                return;
+            }
             channel = context.channel();
             lastReceivedNanos = links.nowNanos();
             context.writeAndFlush(PeerFrame.newBuilder()
@@ -124,6 +135,11 @@
             if (channel != context.channel()) {
                 return;
             }
+            if (frame.hasHello() && !links.answersFor(peer, frame.getHello().getNode())) {
+                links.listener().peerMismatch(peer, frame.getHello().getNode());
+                close();
+                return;
+            }
             lastReceivedNanos = links.nowNanos();
             consecutiveFailures = 0;
             connected = true;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/PeerLinks.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/PeerLinks.java
@@ -1,8 +1,10 @@
 package io.masticfold.gateway.peer;
 
+import io.masticfold.core.directory.RegistrationPolicy;
 import io.masticfold.core.time.Scheduler;
 import io.masticfold.core.time.TimerGrid;
 import io.masticfold.gateway.peer.proto.PeerFrame;
+import io.masticfold.gateway.peer.proto.PeerHello;
 import io.masticfold.gateway.protocol.GatewayAddress;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -10,6 +12,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -21,6 +24,7 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import jdk.net.ExtendedSocketOptions;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -41,6 +45,11 @@
 
     static final Duration MAX_RECONNECT_DELAY = Duration.ofSeconds(2);
 
+    /** Idle time before a probe of a connection that a peer has opened, and between two probes. */
+    private static final int KEEP_ALIVE_SECONDS = 1;
+
+    private static final int KEEP_ALIVE_PROBES = 2;
+
     private static final String SEED_PREFIX = "seed ";
 
     private final EventLoopGroup group;
@@ -87,6 +96,10 @@
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_KEEPALIVE, true)
+                .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_SECONDS)
+                .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_SECONDS)
+                .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
                 .childHandler(new PeerChannelInitializer(InboundConnection::new))
                 .bind(address)
                 .sync();
@@ -102,12 +115,13 @@
                 PeerLink present = links.get(gateway.name());
                 if (present == null || !present.address().equals(gateway.peerAddress())) {
                     if (present != null) {
-                        present.close();
+                        present.retire();
                     }
                     links.put(gateway.name(), new PeerLink(gateway.name(), gateway.peerAddress(), this, now));
                 }
             }
         }
+        List.copyOf(inboundConnections).forEach(connection -> connection.closeIfStuck(now));
         for (PeerLink link : new ArrayList<>(links.values())) {
             if (link.silent(now, SILENCE_TIMEOUT.toNanos())) {
                 link.close();
@@ -123,7 +137,8 @@
         List<GatewayAddress> listed = gateways.get();
         return listed.isEmpty()
                 ? seeds.stream()
-                        .map(address -> new GatewayAddress(SEED_PREFIX + address, "", address))
+                        .map(address -> new GatewayAddress(
+                                SEED_PREFIX + address, "", address, RegistrationPolicy.NO_GENERATION))
                         .toList()
                 : listed;
     }
@@ -133,7 +148,7 @@
         links.values().removeIf(link -> {
             boolean unknown = !names.contains(link.peer());
             if (unknown) {
-                link.close();
+                link.retire();
             }
             return unknown;
         });
@@ -187,6 +202,11 @@
         return connected;
     }
 
+    /** Returns whether a gateway that has answered at the address of a peer is that peer. */
+    boolean answersFor(String peer, String found) {
+        return peer.startsWith(SEED_PREFIX) || peer.equals(found);
+    }
+
     static Duration reconnectDelay(int consecutiveFailures) {
         Duration delay = MIN_RECONNECT_DELAY.multipliedBy(1L << Math.min(consecutiveFailures, 4));
         return delay.compareTo(MAX_RECONNECT_DELAY) > 0 ? MAX_RECONNECT_DELAY : delay;
@@ -211,20 +231,58 @@
     /** Handles the events of a connection that a peer has opened. */
     private final class InboundConnection extends SimpleChannelInboundHandler<PeerFrame> implements PeerCaller {
 
+        private final OutputProgress output = new OutputProgress(SILENCE_TIMEOUT);
         private @Nullable Channel channel;
+        private String peer = "";
 
         @Override
         public void channelActive(ChannelHandlerContext context) {
             channel = context.channel();
+            send(PeerFrame.newBuilder()
+                    .setHello(PeerHello.newBuilder().setNode(node))
+                    .build());
             inboundConnections.add(this);
             peerConnected = true;
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext _context, PeerFrame frame) {
+        protected void channelRead0(ChannelHandlerContext context, PeerFrame frame) {
+            if (frame.hasHello()) {
+                peer = frame.getHello().getNode();
+                closeReplaced(context.channel());
+            }
             listener.requestReceived(this, frame);
         }
 
+        /** Closes an earlier connection from the same process, which it has given up. */
+        private void closeReplaced(Channel opened) {
+            List.copyOf(inboundConnections).stream()
+                    .filter(other -> other != this && other.peer.equals(peer) && sameHost(other.channel, opened))
+                    .forEach(InboundConnection::close);
+        }
+
+        private static boolean sameHost(@Nullable Channel one, Channel other) {
+            return one != null
+                    && one.remoteAddress() instanceof InetSocketAddress left
+                    && other.remoteAddress() instanceof InetSocketAddress right
+                    && left.getAddress().equals(right.getAddress());
+        }
+
+        /** Closes the connection if its peer has taken none of the frames that are waiting for too long. */
+        void closeIfStuck(long nowNanos) {
+            Channel open = channel;
+            if (open != null && output.stuck(open.unsafe().outboundBuffer(), nowNanos)) {
+                close();
+            }
+        }
+
+        private void close() {
+            Channel open = channel;
+            if (open != null) {
+                open.close();
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext _context) {
             inboundConnections.remove(this);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/PeerListener.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/peer/PeerListener.java
@@ -8,6 +8,13 @@
     /** Called when a frame arrives on a connection that this gateway opened. */
     void responseReceived(String peer, PeerFrame frame);
 
+    /**
+     * Called when the address of a peer is answered by another gateway; the connection is closed.
+     *
+     * @param found name of the gateway that answered
+     */
+    void peerMismatch(String peer, String found);
+
     /** Called when the connection to a peer is lost; frames sent before may not have arrived. */
     void connectionLost(String peer);
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/GatewayAddress.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/GatewayAddress.java
@@ -8,5 +8,12 @@
  * @param name name of the machine it runs on
  * @param zone its availability zone
  * @param peerAddress address at which it accepts connections of its peers
+ * @param generation number of takeovers of the name by a process at another address, from 1; 0 if it is not known
  */
-public record GatewayAddress(String name, String zone, InetSocketAddress peerAddress) {}
+public record GatewayAddress(String name, String zone, InetSocketAddress peerAddress, long generation) {
+
+    /** Returns the same gateway with another generation. */
+    public GatewayAddress withGeneration(long next) {
+        return new GatewayAddress(name, zone, peerAddress, next);
+    }
+}
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StoreDialect.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/StoreDialect.java
@@ -55,8 +55,11 @@
      */
     Optional<StreamRecord> decodeStreamRecord(StoreObject object);
 
-    /** Encodes an object that describes this gateway. */
-    byte[] encodeGateway(String name, GatewayAddress gateway);
+    /** Encodes a new object that describes this gateway. */
+    byte[] encodeGateway(GatewayAddress gateway);
+
+    /** Encodes an object that describes this gateway and replaces one only if that has the given revision. */
+    byte[] encodeGateway(GatewayAddress gateway, long replacedRevision);
 
     /**
      * Decodes a gateway's object.
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/StreamVersionBinding.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/StreamVersionBinding.java
@@ -23,8 +23,7 @@
 
     /** Calls the action once it is known where the stream began, as far as it can be known; mostly at once. */
     void whenOriginKnown(Runnable action) {
-        if (routed.takesUpStream()
-                && versions.mustConfirm(routed.pool(), routed.metadata().resumedAttempt())) {
+        if (routed.takesUpStream() && versions.mustConfirm(routed.metadata().resumedAttempt())) {
             versions.confirm(answered -> {
                 confirmed = answered;
                 action.run();
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/resume/StreamVersionRegistry.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/resume/StreamVersionRegistry.java
@@ -126,13 +126,13 @@
 
     /**
      * Returns whether the records must be read again before it can be said where a stream began: a gateway that is not
-     * connected to this one may have begun it at a version that is not known here.
+     * connected to this one may have begun it, and its record says at which version.
      *
      * @param attempt id of the attempt that brought its first event
      */
-    public boolean mustConfirm(String pool, String attempt) {
+    public boolean mustConfirm(String attempt) {
         observe();
-        return origins.find(attempt).isEmpty() && !history.mixed(pool) && !hearsAllGateways();
+        return origins.find(attempt).isEmpty() && !hearsAllGateways();
     }
 
     /** Reads the records of all gateways again; the receiver is told once whether the store has answered in time. */
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/GatewayListener.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/GatewayListener.java
@@ -15,28 +15,27 @@
 
     private final StoreDialect dialect;
     private final PlatformView view;
-    private final String node;
-    private final Runnable onUnlisted;
+    private final GatewayRegistration registration;
     private final Map<String, GatewayAddress> gateways = new HashMap<>();
+    private Optional<StoreObject> own = Optional.empty();
 
     GatewayListener(
             StoreDialect dialect,
             PlatformView view,
-            String node,
-            Runnable onUnlisted,
+            GatewayRegistration registration,
             StoreReachability reachability,
             RateLimitedLog log) {
         super(StoreKind.GATEWAYS, reachability, log);
         this.dialect = dialect;
         this.view = view;
-        this.node = node;
-        this.onUnlisted = onUnlisted;
+        this.registration = registration;
     }
 
     @Override
     public void listed(List<StoreObject> objects, long revision, boolean restored) {
         logIfRestored(revision, restored);
         gateways.clear();
+        own = Optional.empty();
         changed(objects, revision);
     }
 
@@ -49,10 +48,11 @@
             } else {
                 gateways.remove(object.name());
             }
+            if (object.name().equals(registration.name())) {
+                own = object.deleted() ? Optional.empty() : Optional.of(object);
+            }
         }
         view.replaceGateways(List.copyOf(gateways.values()));
-        if (!gateways.containsKey(node)) {
-            onUnlisted.run();
-        }
+        registration.listed(own);
     }
 }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatcher.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/PlatformWatcher.java
@@ -65,8 +65,7 @@
     /**
      * Creates the watchers of all kinds.
      *
-     * @param node name of this gateway
-     * @param onUnlisted called when the store does not list this gateway, so that it has to register
+     * @param registration told how the store lists this gateway
      * @param rollouts told the orders of operators that move pools to other software versions; empty if there are none
      *     in this deployment
      */
@@ -76,10 +75,9 @@
             Scheduler scheduler,
             PlatformView view,
             RateLimitedLog log,
-            String node,
-            Runnable onUnlisted,
+            GatewayRegistration registration,
             Optional<Consumer<List<RolloutOrder>>> rollouts) {
-        this.node = node;
+        this.node = registration.name();
         this.log = log;
         this.scheduler = scheduler;
         this.view = view;
@@ -124,7 +122,7 @@
                         scheduler,
                         StoreKind.GATEWAYS,
                         GATEWAYS_PAUSE,
-                        new GatewayListener(dialect, view, node, onUnlisted, reachability, log),
+                        new GatewayListener(dialect, view, registration, reachability, log),
                         gatewayReads(),
                         this::connectionSilent)));
         this.orders = rollouts.map(receiver -> new RolloutListener(dialect, receiver, reachability, log));
