Refuse requests whose pieces cannot be made from their inputs

A request that omits its last stage was never served.

Cause: whether a piece is made from the key was taken from the inputs that exist, not from the route; numbers of pieces that are no numbers counted as 0.

Change: StagePieces checks numbers, key and graph when a request is routed; what cannot be made gets 400 with a message that names the stage. The number of pieces is bounded by the memory for responses, to which the pieces of running requests are charged. The list of inputs is sent to the model server also if it is empty.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ResponseMemory.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/ResponseMemory.java
@@ -51,6 +51,11 @@
         account.release(MemoryAccount.GATEWAY, bytes);
     }
 
+    /** Returns the largest memory that can be reserved, in bytes. */
+    public long maxBytes() {
+        return maxBytes;
+    }
+
     /** Returns the reserved memory, in bytes. */
     public long reservedBytes() {
         return reservedBytes;
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/CallerMetadata.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/protocol/CallerMetadata.java
@@ -11,7 +11,7 @@
  * @param promptTokens number of tokens in the prompt; 0 if unknown
  * @param outputTokens maximum number of output tokens; 0 if unknown
  * @param promptParts parts of the prompt in order; only the last is specific to this request or its session
- * @param stagePieces number of pieces of each stage; empty if the request has no stages
+ * @param stagePieces number of pieces of each stage; empty if the request states none or malformed ones
  * @param lastEventId id of the last event that the caller has of a stream that it takes up; empty for a new stream
  * @param resumedAttempt id of the attempt that brought the first event of that stream; empty if not named
  * @param stageKey key of the pieces that read no results of other pieces; empty if missing
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/FinalResponse.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/FinalResponse.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway.request;
 
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import io.masticfold.core.error.ErrorKind;
 import io.masticfold.core.error.Ran;
 import io.masticfold.core.forward.CallerStatusPolicy;
@@ -67,8 +68,9 @@
      * @param ran whether the request was executed, as far as known
      * @param left time until the caller's deadline
      * @param estimatedWait estimated time until the caller could be served; zero if unknown
+     * @param detail what is wrong; told to the caller if the request is malformed
      */
-    void refuse(ErrorKind kind, Ran ran, Duration left, Duration estimatedWait) {
+    void refuse(ErrorKind kind, Ran ran, Duration left, Duration estimatedWait, String detail) {
         context.telemetry().refused(kind);
         int status = CallerStatusPolicy.status(kind, ran);
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
@@ -78,7 +80,11 @@
         if (retryLater) {
             headers.set(HttpHeaderNames.RETRY_AFTER, retryAfter(kind, left, estimatedWait));
         }
-        String body = "{\"kind\":\"" + kind.code() + "\",\"ran\":\"" + ran.code() + "\"}\n";
+        String message = kind == ErrorKind.MALFORMED_REQUEST
+                ? ",\"message\":\""
+                        + String.valueOf(JsonStringEncoder.getInstance().quoteAsString(detail)) + '"'
+                : "";
+        String body = "{\"kind\":\"" + kind.code() + "\",\"ran\":\"" + ran.code() + '"' + message + "}\n";
         callerResponse.send(status, headers, Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
     }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/ForwardHandler.java
@@ -9,6 +9,7 @@
 import io.masticfold.core.quarantine.RequestFingerprint;
 import io.masticfold.core.routing.RendezvousHashing;
 import io.masticfold.core.shutdown.GracefulShutdown;
+import io.masticfold.core.stage.StagePieces;
 import io.masticfold.core.time.Deadline;
 import io.masticfold.gateway.context.GatewayContext;
 import io.masticfold.gateway.http.CallerListener;
@@ -149,6 +150,16 @@
         if (metadata.deadlineMillis() == 0) {
             return refuse(request, metadata, response, ErrorKind.DEADLINE_EXPIRED, "deadline has passed");
         }
+        Optional<String> badPieces = route.get().stages().isEmpty()
+                ? Optional.empty()
+                : StagePieces.problem(
+                        route.get().stages(),
+                        metadata.stagePieces(),
+                        metadata.stageKey(),
+                        RequestStages.maxPieces(context.client().responseMemory()));
+        if (badPieces.isPresent()) {
+            return refuse(request, metadata, response, ErrorKind.MALFORMED_REQUEST, badPieces.get());
+        }
         forgetRemovedRoutes(config);
         if (!services.shutdown().accepts(route.get().name(), window(metadata, route.get()))) {
             return refuse(request, metadata, response, ErrorKind.SHUTTING_DOWN, "gateway stops before it could answer");
@@ -265,7 +276,7 @@
             CallerRequest request, CallerMetadata metadata, CallerResponse response, ErrorKind kind, String detail) {
         Duration wait = kind == ErrorKind.QUARANTINED ? TargetSelection.QUARANTINE_RETRY_AFTER : Duration.ZERO;
         new FinalResponse(context, response)
-                .refuse(kind, Ran.NO, Duration.ofMillis(Math.max(0, metadata.deadlineMillis())), wait);
+                .refuse(kind, Ran.NO, Duration.ofMillis(Math.max(0, metadata.deadlineMillis())), wait, detail);
         context.log()
                 .important(GatewayEvent.REQUEST_REFUSED)
                 .addKeyValue("request", metadata.attemptId())
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -79,7 +79,7 @@
         this.binding = new StreamVersionBinding(routed, services.versions());
         this.suspects = routed.suspects();
         this.admission = new RequestAdmission(services.admission(), routed);
-        this.stages = new RequestStages(services, routed);
+        this.stages = new RequestStages(context.client().responseMemory(), services, routed);
         this.watchdog = new StreamWatchdog(context.scheduler(), routed.route().eventPatience(), this::stalled);
     }
 
@@ -103,13 +103,19 @@
     }
 
     private void runStages() {
+        boolean created;
         try {
-            stages.create(this);
+            created = stages.create(this);
         } catch (IllegalArgumentException e) {
             fail(ErrorKind.MALFORMED_REQUEST, String.valueOf(e.getMessage()));
             return;
         }
-        stages.submit(this);
+        if (created) {
+            stages.submit(this);
+        } else {
+            context.telemetry().count("memory_rejected");
+            fail(ErrorKind.OVERLOADED, "no memory for the pieces of the stages");
+        }
     }
 
     @Override
@@ -429,7 +435,7 @@
             return;
         }
         end();
-        response.refuse(kind, history.ran(), remaining(), estimatedWait);
+        response.refuse(kind, history.ran(), remaining(), estimatedWait, detail);
         recordEnd(
                 history.ran() == Ran.NO ? GatewayEvent.REQUEST_REFUSED : GatewayEvent.REQUEST_FAILED,
                 kind.code(),
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestStages.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestStages.java
@@ -2,6 +2,7 @@
 
 import io.masticfold.core.forward.StageSpec;
 import io.masticfold.core.placement.EnginePlacement;
+import io.masticfold.gateway.http.ResponseMemory;
 import io.masticfold.gateway.stage.StageRun;
 import io.masticfold.gateway.stage.StageRunListener;
 import java.time.Duration;
@@ -18,22 +19,41 @@
     /** Typical time from a send to an engine until its first token; stage results are due that long before the aim. */
     private static final Duration TIME_TO_FIRST_TOKEN = Duration.ofMillis(250);
 
+    /** Upper estimate of the memory that a piece takes here: its place in the graph, the queue and the calls. */
+    private static final int BYTES_PER_PIECE = 1024;
+
+    private final ResponseMemory memory;
     private final RequestServices services;
     private final RoutedRequest routed;
     private @Nullable StageRun current;
+    private long reservedBytes;
     private int runs;
 
-    RequestStages(RequestServices services, RoutedRequest routed) {
+    /**
+     * Creates the stages of a request; nothing is run yet.
+     *
+     * @param memory limits the memory of the pieces, which become parts of responses
+     */
+    RequestStages(ResponseMemory memory, RequestServices services, RoutedRequest routed) {
+        this.memory = memory;
         this.services = services;
         this.routed = routed;
     }
 
+    /** Returns the largest number of pieces of one request, for which all of the memory is enough. */
+    static long maxPieces(ResponseMemory memory) {
+        return memory.maxBytes() / BYTES_PER_PIECE;
+    }
+
     /**
-     * Creates the next run of the stages.
+     * Creates the next run of the stages; returns false if there is no memory for its pieces.
      *
      * @throws IllegalArgumentException if the piece counts of the request do not match the stages of its route
      */
-    void create(StageRunListener listener) {
+    boolean create(StageRunListener listener) {
+        if (!reserve()) {
+            return false;
+        }
         runs++;
         long received = routed.request().receivedNanos();
         current = new StageRun(
@@ -53,6 +73,22 @@
                 routed.deadline(),
                 expectedTargetZone(),
                 listener);
+        return true;
+    }
+
+    private boolean reserve() {
+        if (reservedBytes > 0) {
+            return true;
+        }
+        long bytes = BYTES_PER_PIECE
+                * routed.metadata().stagePieces().stream()
+                        .mapToLong(Integer::longValue)
+                        .sum();
+        if (!memory.reserve(bytes)) {
+            return false;
+        }
+        reservedBytes = bytes;
+        return true;
     }
 
     /** Submits the run created last; a run without pieces completes immediately. */
@@ -106,6 +142,8 @@
         if (run != null) {
             run.cancel();
         }
+        memory.release(reservedBytes);
+        reservedBytes = 0;
     }
 
     void recordTo(RequestRecorder recorder) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetRequestBuilder.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/TargetRequestBuilder.java
@@ -53,7 +53,8 @@
         if (routed.route().kind().streaming()) {
             headers.set(names.priority(), Math.min(LOWEST_PRIORITY, routed.priority()));
         }
-        if (!inputs.isEmpty()) {
+        if (!routed.route().stages().isEmpty()) {
+            // An empty list is one, too: a request may omit the stages whose results it would read.
             headers.set(names.stageInputs(), String.join(",", inputs));
         }
         if (lastEventId != StreamEvent.NO_ID) {
