Pass the bytes of a request target on as they came, or refuse them

Cause: the decoder makes a character of each byte, the encoder writes text as UTF-8.

Change: a target is decoded as UTF-8 when its head is read (RequestTarget); bytes that are not valid UTF-8 are refused with 400.

Ruled out: changes of field names or values, in either direction (each byte value tried).

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/CallerRequest.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/CallerRequest.java
@@ -7,7 +7,7 @@
  * Holds a complete request of a caller.
  *
  * @param method request method
- * @param uri path and query as received
+ * @param uri path and query as received, decoded as UTF-8
  * @param headers headers as received
  * @param body complete body; must not be modified
  * @param receivedNanos monotonic time at which the request line and headers were read
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/http/RequestReader.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/http/RequestReader.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
@@ -39,6 +40,12 @@
     /** Begins a request whose head has been read. */
     void begin(HttpRequest request) {
         droppedBytes = 0;
+        Optional<String> target = RequestTarget.decode(request.uri());
+        if (target.isEmpty()) {
+            connection.refuse(BadRequestReason.MALFORMED);
+            return;
+        }
+        request.setUri(target.get());
         RequestLimits limits = server.limits();
         long announced = HttpUtil.getContentLength(request, 0L);
         RequestAssembly begun = new RequestAssembly(
