Move the choice of a final response and the set-up of stages out of RequestRun

No change of behaviour: FinalResponse.permits and complete, RequestStages.create throws what is reported to the caller.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/FinalResponse.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/FinalResponse.java
@@ -4,6 +4,7 @@
 import io.masticfold.core.error.ErrorKind;
 import io.masticfold.core.error.Ran;
 import io.masticfold.core.forward.CallerStatusPolicy;
+import io.masticfold.core.forward.RequestKind;
 import io.masticfold.gateway.context.GatewayContext;
 import io.masticfold.gateway.http.CallerResponse;
 import io.netty.buffer.Unpooled;
@@ -17,6 +18,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.ThreadLocalRandom;
+import org.jspecify.annotations.Nullable;
 
 /** Completes the response to a caller: forwards that of the target, ends or aborts a stream, or sends an error. */
 final class FinalResponse {
@@ -52,9 +54,31 @@
                 Unpooled.wrappedBuffer(response.body()));
     }
 
-    /** Ends a stream whose events have been forwarded. */
-    void finish() {
-        callerResponse.finish();
+    /**
+     * Returns whether the failure that a target answered may be forwarded; counts one that may not.
+     *
+     * @param kind kind of the request
+     * @param ran whether the request was executed, as far as known
+     */
+    boolean permits(TargetResponse response, RequestKind kind, Ran ran) {
+        boolean permitted = CallerStatusPolicy.permitForwarding(kind, ran, response.status());
+        if (!permitted) {
+            context.telemetry().count("target_status_withheld_" + response.status());
+        }
+        return permitted;
+    }
+
+    /**
+     * Completes the response to a request that was served.
+     *
+     * @param response response of the target; null for a stream, whose events have been forwarded
+     */
+    void complete(@Nullable TargetResponse response) {
+        if (response != null) {
+            forward(response);
+        } else {
+            callerResponse.finish();
+        }
     }
 
     /** Aborts a stream, so that the caller does not take it for complete. */
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestRun.java
@@ -1,8 +1,8 @@
 package io.masticfold.gateway.request;
 
 import io.masticfold.core.error.ErrorKind;
+import io.masticfold.core.error.MasticfoldException;
 import io.masticfold.core.error.Ran;
-import io.masticfold.core.forward.CallerStatusPolicy;
 import io.masticfold.core.forward.SendOutcome;
 import io.masticfold.core.stream.StreamEvent;
 import io.masticfold.core.time.Cancellable;
@@ -79,7 +79,7 @@
         this.binding = new StreamVersionBinding(routed, services.versions());
         this.suspects = routed.suspects();
         this.admission = new RequestAdmission(services.admission(), routed);
-        this.stages = new RequestStages(context.client().responseMemory(), services, routed);
+        this.stages = new RequestStages(context, services, routed);
         this.watchdog = new StreamWatchdog(context.scheduler(), routed.route().eventPatience(), this::stalled);
     }
 
@@ -103,18 +103,11 @@
     }
 
     private void runStages() {
-        boolean created;
         try {
-            created = stages.create(this);
-        } catch (IllegalArgumentException e) {
-            fail(ErrorKind.MALFORMED_REQUEST, String.valueOf(e.getMessage()));
-            return;
-        }
-        if (created) {
+            stages.create(this);
             stages.submit(this);
-        } else {
-            context.telemetry().count("memory_rejected");
-            fail(ErrorKind.OVERLOADED, "no memory for the pieces of the stages");
+        } catch (MasticfoldException e) {
+            fail(e.kind(), String.valueOf(e.getMessage()));
         }
     }
 
@@ -376,12 +369,11 @@
             abort(result.outcome().failure(), result.detail());
         } else if (targetResponse == null) {
             fail(result.outcome().failure(), result.detail());
-        } else if (CallerStatusPolicy.permitForwarding(routed.route().kind(), history.ran(), targetResponse.status())) {
+        } else if (response.permits(targetResponse, routed.route().kind(), history.ran())) {
             end();
             response.forward(targetResponse);
             recordEnd(GatewayEvent.REQUEST_FAILED, "target_failed", result.detail());
         } else {
-            context.telemetry().count("target_status_withheld_" + targetResponse.status());
             fail(result.outcome().failure(), result.detail() + " is not forwarded: it promises that nothing has run");
         }
     }
@@ -393,12 +385,7 @@
                         routed.route().name(),
                         Duration.ofNanos(context.scheduler().nanoTime()
                                 - routed.request().receivedNanos()));
-        TargetResponse targetResponse = result.response();
-        if (targetResponse != null) {
-            response.forward(targetResponse);
-        } else {
-            response.finish();
-        }
+        response.complete(result.response());
         recordEnd(GatewayEvent.REQUEST_ANSWERED, "answered", result.detail());
     }
 
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestStages.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/request/RequestStages.java
@@ -1,7 +1,10 @@
 package io.masticfold.gateway.request;
 
+import io.masticfold.core.error.ErrorKind;
+import io.masticfold.core.error.MasticfoldException;
 import io.masticfold.core.forward.StageSpec;
 import io.masticfold.core.placement.EnginePlacement;
+import io.masticfold.gateway.context.GatewayContext;
 import io.masticfold.gateway.http.ResponseMemory;
 import io.masticfold.gateway.stage.StageRun;
 import io.masticfold.gateway.stage.StageRunListener;
@@ -22,6 +25,7 @@
     /** Upper estimate of the memory that a piece takes here: its place in the graph, the queue and the calls. */
     private static final int BYTES_PER_PIECE = 1024;
 
+    private final GatewayContext context;
     private final ResponseMemory memory;
     private final RequestServices services;
     private final RoutedRequest routed;
@@ -29,13 +33,10 @@
     private long reservedBytes;
     private int runs;
 
-    /**
-     * Creates the stages of a request; nothing is run yet.
-     *
-     * @param memory limits the memory of the pieces, which become parts of responses
-     */
-    RequestStages(ResponseMemory memory, RequestServices services, RoutedRequest routed) {
-        this.memory = memory;
+    /** Creates the stages of a request; nothing is run yet. */
+    RequestStages(GatewayContext context, RequestServices services, RoutedRequest routed) {
+        this.context = context;
+        this.memory = context.client().responseMemory();
         this.services = services;
         this.routed = routed;
     }
@@ -46,17 +47,27 @@
     }
 
     /**
-     * Creates the next run of the stages; returns false if there is no memory for its pieces.
+     * Creates the next run of the stages.
      *
-     * @throws IllegalArgumentException if the piece counts of the request do not match the stages of its route
+     * @throws MasticfoldException if the stages cannot be run as the route describes them, or if there is no memory for
+     *     their pieces
      */
-    boolean create(StageRunListener listener) {
+    void create(StageRunListener listener) throws MasticfoldException {
         if (!reserve()) {
-            return false;
+            context.telemetry().count("memory_rejected");
+            throw new MasticfoldException(ErrorKind.OVERLOADED, "no memory for the pieces of the stages");
         }
         runs++;
+        try {
+            current = newRun(listener);
+        } catch (IllegalArgumentException e) {
+            throw new MasticfoldException(ErrorKind.MALFORMED_REQUEST, String.valueOf(e.getMessage()), e);
+        }
+    }
+
+    private StageRun newRun(StageRunListener listener) {
         long received = routed.request().receivedNanos();
-        current = new StageRun(
+        return new StageRun(
                 services.stages(),
                 routed.route().stages(),
                 routed.metadata().stagePieces(),
@@ -73,7 +84,6 @@
                 routed.deadline(),
                 expectedTargetZone(),
                 listener);
-        return true;
     }
 
     private boolean reserve() {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/store/GatewayRegistration.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/store/GatewayRegistration.java
@@ -15,8 +15,8 @@
 import java.util.Optional;
 
 /**
- * Keeps this gateway's entry in the store, so that its peers find it. An entry of an earlier process of the same name at
- * another address is replaced; one of a later process stays. Not thread-safe.
+ * Keeps this gateway's entry in the store, so that its peers find it. An entry of an earlier process of the same name
+ * at another address is replaced; one of a later process stays. Not thread-safe.
  */
 public final class GatewayRegistration {
 
--- a/masticfold-gateway/src/test/java/io/masticfold/gateway/peer/PeerLinkTests.java
+++ b/masticfold-gateway/src/test/java/io/masticfold/gateway/peer/PeerLinkTests.java
@@ -26,7 +26,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** Guards against connections that outlive the peer for which they were opened, and against what a stranger says on one. */
+/** Guards against connections that outlive their peer, and against another gateway that is heard in its place. */
 final class PeerLinkTests {
 
     private static final int TIMEOUT_MILLIS = 5_000;
