Let the other servers of a stage pool go on while one pauses

Cause: StagePoolQueue sent nothing while a send was scheduled, also one for the end of the pause. Beside it, the pause ended with the object that calls the server, when the server moves to another queue.

Change: EarliestTimer, an earlier time replaces a later one. ServerPauses keeps pauses by incarnation for the whole gateway. Pieces that no server takes before their deadline are given back at once, and the gate counts a pause of all servers as certain time.

Ruled out: a plan that prefers the paused server (the others get no call at all), the gate as the cause (requests time out in the queue).

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/OwnedPoolQueues.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/OwnedPoolQueues.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway.stage;
 
+import io.masticfold.core.directory.TargetRecord;
 import io.masticfold.core.stage.StagePartitions;
 import io.masticfold.core.time.Deadline;
 import io.masticfold.gateway.context.GatewayContext;
@@ -27,6 +28,7 @@
 
     private final GatewayContext context;
     private final Map<String, StagePoolQueue> queues = new HashMap<>();
+    private final ServerPauses pauses = new ServerPauses();
     private final Map<PeerCaller, PeerDispatchListener> peerListeners = new HashMap<>();
     private boolean piecesQueued;
 
@@ -38,7 +40,8 @@
     void add(String pool, int partition, QueuedPiece piece) {
         piecesQueued = true;
         queues.computeIfAbsent(
-                        StagePartitions.key(pool, partition), _key -> new StagePoolQueue(context, pool, partition))
+                        StagePartitions.key(pool, partition),
+                        _key -> new StagePoolQueue(context, pool, partition, pauses))
                 .add(piece);
     }
 
@@ -66,6 +69,11 @@
         return Optional.ofNullable(queues.get(StagePartitions.key(pool, partitionOf(pool, server))));
     }
 
+    /** Returns the time until a server takes calls of this gateway, as far as it is known; zero if it does now. */
+    Duration pause(TargetRecord server) {
+        return pauses.remaining(server, context.scheduler().nanoTime());
+    }
+
     /** Returns the partition to which a server of a pool belongs at present. */
     int partitionOf(String pool, String server) {
         int servers = context.view().directory().usable(pool).size();
@@ -75,6 +83,7 @@
     /** Returns the status of the queues for the peers. */
     PeerStatus.Builder status() {
         queues.values().removeIf(StagePoolQueue::obsolete);
+        pauses.retain(server -> context.view().directory().find(server.id()).isPresent());
         PeerStatus.Builder status = PeerStatus.newBuilder();
         for (StagePoolQueue queue : queues.values()) {
             Map<String, Double> onTime = queue.backlogMillis(true);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageForecast.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageForecast.java
@@ -57,7 +57,7 @@
     }
 
     private Duration startTime(int stage, boolean loaded) {
-        Duration start = Duration.ZERO;
+        Duration start = servers.pause(stages.get(stage).pool());
         for (int before : stages.get(stage).inputStages()) {
             if (graph.pieces(before) > 0) {
                 start = max(start, endTime(before, loaded));
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StagePoolQueue.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StagePoolQueue.java
@@ -7,6 +7,7 @@
 import io.masticfold.core.stage.StageCallPlan;
 import io.masticfold.core.stage.StagePartitions;
 import io.masticfold.core.stage.StageServerLoad;
+import io.masticfold.core.time.EarliestTimer;
 import io.masticfold.gateway.context.GatewayContext;
 import io.masticfold.gateway.protocol.PieceOutcome;
 import java.time.Duration;
@@ -33,9 +34,18 @@
     private final WaitingPieces waiting;
     private final Map<String, StageServer> servers = new HashMap<>();
     private final StageBacklogs backlogs;
-    private boolean sendScheduled;
+    private final ServerPauses pauses;
+    private final EarliestTimer sendTimer;
+    private boolean sendHeld;
 
-    StagePoolQueue(GatewayContext context, String pool, int partition) {
+    /**
+     * Creates an empty queue.
+     *
+     * @param pauses pauses of all servers that this gateway calls
+     */
+    StagePoolQueue(GatewayContext context, String pool, int partition, ServerPauses pauses) {
+        this.pauses = pauses;
+        this.sendTimer = new EarliestTimer(context.scheduler(), this::sendUnlessPaused);
         this.context = context;
         this.pool = pool;
         this.partition = partition;
@@ -56,7 +66,7 @@
     @Override
     public void serverChanged() {
         backlogs.invalidate();
-        scheduleSend(Duration.ZERO);
+        sendTimer.arm(Duration.ZERO);
     }
 
     @Override
@@ -136,13 +146,14 @@
                 .map(found -> found.stage());
     }
 
-    private void scheduleSend(Duration delay) {
-        if (!sendScheduled) {
-            sendScheduled = true;
-            context.scheduler().schedule(delay, () -> context.pauseGuard().run(() -> {
-                sendScheduled = false;
+    /** Sends what can be sent, once decisions may be made after a pause of this process. */
+    private void sendUnlessPaused() {
+        if (!sendHeld) {
+            sendHeld = true;
+            context.pauseGuard().run(() -> {
+                sendHeld = false;
                 sendNext();
-            }));
+            });
         }
     }
 
@@ -153,6 +164,9 @@
         if (usable.isEmpty()) {
             waiting.takeAll().forEach(piece -> complete(piece, PieceOutcome.Kind.NOT_SENT));
         }
+        usable.stream().mapToDouble(StageServer::pauseMillis).min().ifPresent(soonest -> waiting.takeDueWithin(
+                        Duration.ofMillis((long) soonest))
+                .forEach(piece -> complete(piece, PieceOutcome.Kind.LATE)));
         if (spec.isEmpty() || waiting.isEmpty()) {
             return;
         }
@@ -170,7 +184,7 @@
         boolean held = usable.stream().anyMatch(StageServer::ready);
         double delayMillis = held ? Math.min(pauseMillis, REPLAN_INTERVAL.toMillis()) : pauseMillis;
         if (delayMillis < Double.MAX_VALUE) {
-            scheduleSend(Duration.ofMillis((long) Math.ceil(delayMillis)));
+            sendTimer.arm(Duration.ofMillis((long) Math.ceil(delayMillis)));
         }
     }
 
@@ -238,7 +252,7 @@
         if (known != null && known.server().sameIncarnation(target)) {
             return known;
         }
-        StageServer fresh = new StageServer(context, pool, target, this);
+        StageServer fresh = new StageServer(context, pool, target, pauses.of(target), this);
         servers.put(target.id(), fresh);
         return fresh;
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServer.java
@@ -54,12 +54,17 @@
     private int abandonedCalls;
     private int queueFullResponses;
 
-    StageServer(GatewayContext context, String pool, TargetRecord server, StageServerListener listener) {
+    StageServer(
+            GatewayContext context,
+            String pool,
+            TargetRecord server,
+            ServerPauses.Pause pause,
+            StageServerListener listener) {
         this.context = context;
         this.pool = pool;
         this.server = server;
         this.listener = listener;
-        this.serverState = new StageServerState(context.scheduler());
+        this.serverState = new StageServerState(context.scheduler(), pause);
         this.callLog = new StageCallLog(context.log(), pool, server.id());
         this.releaser = new ResultReleaser(context, server, serverState, this::spec, listener::serverChanged);
     }
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerRegistry.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerRegistry.java
@@ -126,6 +126,19 @@
         return Duration.ofMillis((long) (shortest + coming));
     }
 
+    /** Returns the time until a server of a pool takes calls, as far as this gateway has been told to pause. */
+    Duration pause(String pool) {
+        @Nullable Duration shortest = null;
+        for (TargetRecord server : context.view().directory().usable(pool)) {
+            Duration pause = ownedQueues.pause(server);
+            if (pause.isZero()) {
+                return pause;
+            }
+            shortest = shortest == null || pause.compareTo(shortest) < 0 ? pause : shortest;
+        }
+        return shortest == null ? Duration.ZERO : shortest;
+    }
+
     /** Returns the partition of a pool to which a server belongs. */
     int partitionOf(String pool, String server) {
         return ownedQueues.partitionOf(pool, server);
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerState.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerState.java
@@ -50,14 +50,17 @@
     private long foreignRecordedNanos;
     private long callStartedNanos;
     private double callExpectedMillis;
-    private long pausedUntilNanos;
-    private long limitedUntilNanos;
+    private final ServerPauses.Pause pause;
     private double slowdown = 1;
 
-    StageServerState(TimeSource time) {
+    /**
+     * Creates the state of a server about which nothing is known but its pause.
+     *
+     * @param pause end of the server's pauses, which outlives this state
+     */
+    StageServerState(TimeSource time, ServerPauses.Pause pause) {
         this.time = time;
-        this.pausedUntilNanos = time.nanoTime();
-        this.limitedUntilNanos = pausedUntilNanos;
+        this.pause = pause;
     }
 
     double slowdown() {
@@ -85,18 +88,12 @@
      * @param callsPerSecond limit that the server names
      */
     void pauseForLimit(double callsPerSecond) {
-        long next = callStartedNanos + (long) (NANOS_PER_SECOND / Math.max(MIN_CALLS_PER_SECOND, callsPerSecond));
-        if (next - limitedUntilNanos > 0) {
-            limitedUntilNanos = next;
-        }
+        pause.limit(callStartedNanos + (long) (NANOS_PER_SECOND / Math.max(MIN_CALLS_PER_SECOND, callsPerSecond)));
     }
 
     /** Delays the next call by a pause that the server has asked for; an earlier, longer one holds. */
     void pauseAsAsked(Duration length) {
-        long end = time.nanoTime() + length.toNanos();
-        if (end - limitedUntilNanos > 0) {
-            limitedUntilNanos = end;
-        }
+        pause.limit(time.nanoTime() + length.toNanos());
     }
 
     /** Records that no call is in progress, so that the next one may start. */
@@ -128,12 +125,11 @@
     }
 
     void pause(Duration length) {
-        pausedUntilNanos = time.nanoTime() + length.toNanos();
+        pause.pause(time.nanoTime() + length.toNanos());
     }
 
     double remainingPauseMillis() {
-        long now = time.nanoTime();
-        return Math.max(0, Math.max(pausedUntilNanos - now, limitedUntilNanos - now) / NANOS_PER_MILLI);
+        return Math.max(0, pause.remainingNanos(time.nanoTime()) / NANOS_PER_MILLI);
     }
 
     long freeBytes(long total) {
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/WaitingPieces.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/WaitingPieces.java
@@ -3,6 +3,7 @@
 import io.masticfold.core.forward.StagePoolSpec;
 import io.masticfold.core.stage.StageServerSelection;
 import io.masticfold.core.time.TimeSource;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Predicate;
@@ -44,6 +45,11 @@
         return takeMatching(piece -> piece.deadline().expired(time));
     }
 
+    /** Removes and returns the pieces whose deadline passes before the given time from now is over. */
+    List<QueuedPiece> takeDueWithin(Duration time) {
+        return takeMatching(piece -> piece.deadline().remaining(this.time).compareTo(time) < 0);
+    }
+
     List<QueuedPiece> takeAll() {
         return takeMatching(_piece -> true);
     }
--- a/masticfold-gateway/src/test/java/io/masticfold/gateway/stage/StageServerStateTests.java
+++ b/masticfold-gateway/src/test/java/io/masticfold/gateway/stage/StageServerStateTests.java
@@ -13,7 +13,7 @@
     private static final Duration KEEP = Duration.ofSeconds(4);
 
     private final ManualTimeSource time = new ManualTimeSource();
-    private final StageServerState state = new StageServerState(time);
+    private final StageServerState state = new StageServerState(time, new ServerPauses.Pause());
 
     @Test
     void storageIsFreeOnceReleased() {
