Forget the slowdown of a stage server that gets no calls

What callers saw: after one slow call of a stage server, the others of its pool did all the work, and requests waited until their backlog exceeded the remembered slowdown.

Cause: only calls renew the measured slowdown, and the plan calls no server whose slowdown is above that of a free one. In the failing rows one server got about 200 calls, the other three none, while all were free. Ruled out by the same trials: a call that never ends, a server missing in the directory (all were in the plan's input, and called with six callers).

Change: SlowdownEstimate (core/stage) forgets a slowdown with the time without a call, the half-life being a multiple of the last call's duration.

--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServer.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServer.java
@@ -131,7 +131,7 @@
     }
 
     private void callSlow(StageCall call) {
-        serverState.recordLateDuration(call.elapsedMillis() / call.expectedMillis());
+        serverState.recordLateDuration(call.elapsedMillis(), call.expectedMillis());
         listener.serverChanged();
     }
 
@@ -161,7 +161,7 @@
     private void handleLateResult(StageCall call, CallResult result) {
         abandonedCalls--;
         if (result instanceof CallResult.Answered answered && answered.status() == HttpResponseStatus.OK.code()) {
-            serverState.recordLateDuration(call.elapsedMillis() / call.expectedMillis());
+            serverState.recordLateDuration(call.elapsedMillis(), call.expectedMillis());
             try {
                 List<PieceOutcome> outcomes = context.protocol()
                         .stages()
@@ -193,7 +193,7 @@
             return;
         }
         queueFullResponses = 0;
-        serverState.recordDuration(call.elapsedMillis() / call.expectedMillis());
+        serverState.recordDuration(call.elapsedMillis(), call.expectedMillis());
         context.telemetry().stage(pool, call.pieces().size(), (long) (call.elapsedMillis() * NANOS_PER_MILLI));
         callLog.succeeded(
                 call,
--- a/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerState.java
+++ b/masticfold-gateway/src/main/java/io/masticfold/gateway/stage/StageServerState.java
@@ -1,5 +1,6 @@
 package io.masticfold.gateway.stage;
 
+import io.masticfold.core.stage.SlowdownEstimate;
 import io.masticfold.core.time.TimeSource;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -21,14 +22,6 @@
     /** Time until results of a former owner are gone: about the time of a request from its last stage to its end. */
     static final Duration FOREIGN_RESULT_LIFETIME = Duration.ofMillis(1000);
 
-    /** Weight of the latest call in the moving average of the slowdown. */
-    private static final double SLOWDOWN_WEIGHT = 0.3;
-
-    /** Bounds of the measured slowdown. */
-    private static final double MIN_SLOWDOWN = 0.7;
-
-    private static final double MAX_SLOWDOWN = 20;
-
     /** Expected rest of an overdue call, as a fraction of the time that it has taken. */
     private static final double OVERDUE_FRACTION = 0.25;
 
@@ -51,7 +44,7 @@
     private long callStartedNanos;
     private double callExpectedMillis;
     private final ServerPauses.Pause pause;
-    private double slowdown = 1;
+    private final SlowdownEstimate slowdown = new SlowdownEstimate();
 
     /**
      * Creates the state of a server about which nothing is known but its pause.
@@ -63,8 +56,9 @@
         this.pause = pause;
     }
 
+    /** Returns the ratio of the actual to the expected duration of the call in progress, or of the next one. */
     double slowdown() {
-        return slowdown;
+        return slowdown.value(callExpectedMillis == 0 ? time.nanoTime() : callStartedNanos);
     }
 
     double remainingCallMillis() {
@@ -72,7 +66,7 @@
             return 0;
         }
         double elapsed = (time.nanoTime() - callStartedNanos) / NANOS_PER_MILLI;
-        double remaining = callExpectedMillis * slowdown - elapsed;
+        double remaining = callExpectedMillis * slowdown() - elapsed;
         return remaining > 0 ? remaining : elapsed * OVERDUE_FRACTION;
     }
 
@@ -106,22 +100,14 @@
         reservedBytes -= bytes;
     }
 
-    /**
-     * Records the duration of a call.
-     *
-     * @param ratio ratio of actual to expected duration
-     */
-    void recordDuration(double ratio) {
-        slowdown = clampSlowdown((1 - SLOWDOWN_WEIGHT) * slowdown + SLOWDOWN_WEIGHT * ratio);
-    }
-
-    /** Records the duration of a late call. It is not averaged: one late call shows that the server is slow. */
-    void recordLateDuration(double ratio) {
-        slowdown = clampSlowdown(Math.max(slowdown, ratio));
+    /** Records the duration of a call that ended now, in milliseconds. */
+    void recordDuration(double callMillis, double expectedMillis) {
+        slowdown.record(callMillis, expectedMillis, time.nanoTime());
     }
 
-    private static double clampSlowdown(double slowdown) {
-        return Math.max(MIN_SLOWDOWN, Math.min(MAX_SLOWDOWN, slowdown));
+    /** Records that a call has taken at least a time, in milliseconds, and is late. */
+    void recordLateDuration(double callMillis, double expectedMillis) {
+        slowdown.recordLate(callMillis, expectedMillis, time.nanoTime());
     }
 
     void pause(Duration length) {
