Measure the times of answers in microseconds

What callers saw: with second sends on, requests of a route whose answers take less than a millisecond were sent twice at once until the limit was used up, and the late ones got no second send.

Cause: RecentAnswerTimes counted whole milliseconds, so the delay of second sends, a quantile of these times, was zero.

--- a/masticfold-core/src/main/java/io/masticfold/core/hedge/RecentAnswerTimes.java
+++ b/masticfold-core/src/main/java/io/masticfold/core/hedge/RecentAnswerTimes.java
@@ -2,7 +2,9 @@
 
 import io.masticfold.core.time.TimeSource;
 import java.time.Duration;
+import java.time.temporal.ChronoUnit;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.IntCountsHistogram;
 
 /**
@@ -11,7 +13,7 @@
  */
 public final class RecentAnswerTimes {
 
-    private static final long MAX_MILLIS = Duration.ofMinutes(1).toMillis();
+    private static final long MAX_MICROS = TimeUnit.MINUTES.toMicros(1);
     private static final int SIGNIFICANT_DIGITS = 2;
     private static final double PERCENT = 100;
 
@@ -35,7 +37,8 @@
     /** Records the time until an answer; times above a minute count as a minute. */
     public void record(Duration answerTime) {
         rotate();
-        current.recordValue(Math.max(0, Math.min(MAX_MILLIS, answerTime.toMillis())));
+        long micros = TimeUnit.NANOSECONDS.toMicros(answerTime.toNanos());
+        current.recordValue(Math.max(0, Math.min(MAX_MICROS, micros)));
     }
 
     /** Returns a quantile, 0 to 1; empty if there are too few answers for one of them to lie beyond it. */
@@ -45,7 +48,7 @@
         both.add(previous);
         return both.getTotalCount() * (1 - quantile) < 1
                 ? Optional.empty()
-                : Optional.of(Duration.ofMillis(both.getValueAtPercentile(quantile * PERCENT)));
+                : Optional.of(Duration.of(both.getValueAtPercentile(quantile * PERCENT), ChronoUnit.MICROS));
     }
 
     private void rotate() {
@@ -64,6 +67,6 @@
     }
 
     private static IntCountsHistogram histogram() {
-        return new IntCountsHistogram(MAX_MILLIS, SIGNIFICANT_DIGITS);
+        return new IntCountsHistogram(MAX_MICROS, SIGNIFICANT_DIGITS);
     }
 }
